Serve a chat completion from end to end

Cause: nothing stood between callers and engines. Change: packages base, http, config, fleet, policy, platform, backend, peer, control and gateway, the daemon pollenrouted over them, and stand-ins for the engine, plain service, log, instance list and rating service.

--- /dev/null
+++ b/build.sh
@@ -0,0 +1,58 @@
+#!/usr/bin/env bash
+# Sets up, builds and does the common things. ./build.sh help lists them.
+set -euo pipefail
+cd "$(dirname "$0")"
+
+build_dir=build
+
+usage() {
+    cat <<'TEXT'
+usage: ./build.sh [COMMAND]
+
+  build    install missing packages, configure and build (default)
+  test     build, then run every test
+  format   format every source file
+  lint     check formatting and run the linter
+  clean    remove the build
+TEXT
+}
+
+install_packages() {
+    local missing=()
+    local package
+    while read -r package; do
+        dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' || missing+=("$package")
+    done < packages.txt
+    [ ${#missing[@]} -eq 0 ] && return
+    local sudo=()
+    [ "$(id -u)" -eq 0 ] || sudo=(sudo)
+    "${sudo[@]}" apt-get update -qq
+    DEBIAN_FRONTEND=noninteractive "${sudo[@]}" apt-get install -y -qq --no-install-recommends "${missing[@]}"
+}
+
+build() {
+    install_packages
+    cmake -S . -B "$build_dir" -G Ninja > "$build_dir.log" 2>&1 || { cat "$build_dir.log"; rm "$build_dir.log"; exit 1; }
+    rm "$build_dir.log"
+    cmake --build "$build_dir"
+}
+
+sources() {
+    git ls-files --cached --others --exclude-standard '*.h' '*.cpp'
+}
+
+lint() {
+    build
+    sources | xargs clang-format --dry-run --Werror
+    sources | grep '\.cpp$' | xargs -P "$(nproc)" -n 4 clang-tidy --quiet -p "$build_dir" 2>/dev/null
+}
+
+case "${1:-build}" in
+    build) build ;;
+    test) build; ctest --test-dir "$build_dir" --output-on-failure -j "$(nproc)" ;;
+    format) sources | xargs clang-format -i ;;
+    lint) lint ;;
+    clean) rm -rf "$build_dir" ;;
+    help|--help|-h) usage ;;
+    *) usage >&2; exit 2 ;;
+esac
--- /dev/null
+++ b/cmake/pollen.cmake
@@ -0,0 +1,53 @@
+include_guard(GLOBAL)
+
+set(POLLEN_ROOT ${CMAKE_CURRENT_LIST_DIR}/..)
+set(CMAKE_CXX_STANDARD 20)
+set(CMAKE_CXX_STANDARD_REQUIRED ON)
+set(CMAKE_CXX_EXTENSIONS OFF)
+set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
+if(NOT CMAKE_BUILD_TYPE)
+    set(CMAKE_BUILD_TYPE RelWithDebInfo)
+endif()
+add_compile_options(-Wall -Wextra -Werror)
+
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+    set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+endif()
+
+find_package(PkgConfig REQUIRED)
+find_package(GTest REQUIRED)
+include(GoogleTest)
+enable_testing()
+
+# Makes the named packages of the workspace available, so that each package also builds alone.
+function(pollen_need)
+    foreach(dependency ${ARGN})
+        if(NOT TARGET pollen_${dependency})
+            add_subdirectory(${POLLEN_ROOT}/libs/${dependency} ${CMAKE_BINARY_DIR}/libs/${dependency})
+        endif()
+    endforeach()
+endfunction()
+
+# Declares the static library pollen_NAME from src/*.cpp. DEPENDS names workspace packages, LINK external libraries.
+function(pollen_library name)
+    cmake_parse_arguments(ARG "" "" "DEPENDS;LINK" ${ARGN})
+    pollen_need(${ARG_DEPENDS})
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
+    add_library(pollen_${name} STATIC ${sources})
+    target_include_directories(pollen_${name} PUBLIC ${CMAKE_CURRENT_SOURCE_DIR}/include)
+    list(TRANSFORM ARG_DEPENDS PREPEND pollen_)
+    target_link_libraries(pollen_${name} PUBLIC ${ARG_DEPENDS} ${ARG_LINK})
+    pollen_tests(${name})
+endfunction()
+
+# Declares NAME_tests from tests/*.cpp when the package has any.
+function(pollen_tests name)
+    file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
+    if(NOT tests)
+        return()
+    endif()
+    add_executable(${name}_tests ${tests})
+    target_link_libraries(${name}_tests PRIVATE pollen_${name} GTest::gtest_main)
+    gtest_discover_tests(${name}_tests DISCOVERY_TIMEOUT 60)
+endfunction()
--- /dev/null
+++ b/libs/backend/include/backend/http_model_engine.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <backend/model_engine.h>
+#include <http/http_client.h>
+
+namespace pollen {
+
+// A model engine over the chat completions protocol as docs/INTERFACES.md describes it.
+class http_model_engine final : public model_engine {
+public:
+    http_model_engine(http_client& client, duration connectTimeout);
+
+    std::unique_ptr<engine_call> generate(
+        const endpoint& server, const engine_request& request, engine_listener& listener) override;
+    void load(const endpoint& server, load_callback callback) override;
+
+private:
+    http_client& m_client;
+    duration m_connectTimeout;
+};
+
+} // namespace pollen
--- /dev/null
+++ b/libs/backend/src/failure_mapping.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <backend/model_engine.h>
+#include <http/http_client.h>
+
+namespace pollen {
+
+// What a failed HTTP exchange means for the work it carried.
+inline backend_failure toBackendFailure(const exchange_result& result)
+{
+    if (!result.requestSent)
+        return backend_failure::NotReached;
+    switch (result.failure) {
+    case exchange_failure::TimedOut:
+        return backend_failure::TimedOut;
+    case exchange_failure::MalformedResponse:
+    case exchange_failure::ResponseTooLarge:
+        return backend_failure::Malformed;
+    default:
+        return backend_failure::ConnectionLost;
+    }
+}
+
+} // namespace pollen
--- /dev/null
+++ b/libs/control/include/control/bill_ledger.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <base/backoff.h>
+#include <base/logger.h>
+#include <fleet/fleet_system.h>
+#include <functional>
+#include <http/event_loop.h>
+#include <map>
+#include <peer/peer_node.h>
+#include <platform/record_log.h>
+#include <unordered_map>
+
+namespace pollen {
+
+// Name of the stream that carries bills.
+constexpr const char* billStream = "bills";
+
+// JSON text of a bill, as stored in the log.
+std::string encodeBill(const bill& bill);
+
+// Throws record_error.
+bill decodeBill(const std::string& text);
+
+// Writes each bill to the log in batches. Until a bill is there, a peer in another failure domain holds a copy, and
+// writes it itself when this daemon dies. Repeated records have the same id and count once.
+class bill_ledger final : public fleet_system, public bill_message_handler {
+public:
+    bill_ledger(event_loop& loop, peer_node& node, peer_table& peers, record_log& log, random_source& random,
+        const clock& clock, logger& logger);
+    ~bill_ledger() override;
+
+    // Takes over a bill. Calls whenSafe once a peer holds it, at once when there is no peer, or after a short time
+    // when no peer answers; possibly from inside this function.
+    void record(const bill& bill, std::function<void()> whenSafe);
+
+    // True when no more bills can be taken, because the log has been out of reach for long.
+    bool full() const;
+    // True when all bills of this daemon are in the log.
+    bool settled() const { return m_outbox.empty(); }
+
+    size_t waitingBills() const { return m_outbox.size(); }
+    size_t heldBills() const { return m_held.size(); }
+    uint64_t unreplicatedBills() const { return m_unreplicated; }
+
+    void tick(time_point now) override;
+    void onBillCopy(const instance_id& from, uint64_t incarnation, const endpoint& address, const bill& copy) override;
+    void onBillHeld(const std::string& billId) override;
+    void onBillsSettled(const std::vector<std::string>& billIds) override;
+
+private:
+    struct outgoing_bill {
+        bill content;
+        // Peer that was asked to hold the bill; empty when there was none.
+        instance_id holder;
+        bool appending = false;
+    };
+    struct awaited_copy {
+        std::function<void()> whenSafe;
+        time_point nextTry;
+        size_t tries = 0;
+    };
+    struct held_bill {
+        bill content;
+        instance_id origin;
+        uint64_t incarnation = 0;
+    };
+
+    void askHolder(const std::string& billId, awaited_copy& awaited);
+    void retryCopies();
+    void adoptFromDead(time_point now);
+    void flush();
+    void onAppended(const std::vector<std::string>& billIds, const append_result& result);
+    void settle(const std::vector<std::string>& billIds);
+
+    peer_node& m_node;
+    peer_table& m_peers;
+    record_log& m_log;
+    const clock& m_clock;
+    logger& m_logger;
+    timer m_copyTimer;
+    backoff m_backoff;
+    std::map<std::string, outgoing_bill> m_outbox;
+    std::unordered_map<std::string, awaited_copy> m_awaited;
+    std::unordered_map<std::string, held_bill> m_held;
+    time_point m_nextFlush {};
+    bool m_appending = false;
+    uint64_t m_unreplicated = 0;
+    std::shared_ptr<bool> m_alive;
+};
+
+} // namespace pollen
--- /dev/null
+++ b/libs/control/include/control/claim_fold.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <base/typed_id.h>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace pollen {
+
+// The recorded answer to a call that must not be repeated.
+struct recorded_answer {
+    int status = 0;
+    std::string contentType;
+    std::string body;
+    // False when the body was too large to record.
+    bool bodyKept = true;
+
+    friend bool operator==(const recorded_answer&, const recorded_answer&) = default;
+};
+
+enum class claim_record_kind {
+    // Asks for the right to run a call; the first for its key wins.
+    Claim,
+    // The call was run and answered.
+    Result,
+    // The owner has not run the call and never will.
+    Release,
+};
+
+// One record of the claim stream.
+struct claim_record {
+    claim_record_kind kind = claim_record_kind::Claim;
+    // Digest of team, service and idempotency key.
+    std::string key;
+    request_id request;
+    instance_id daemon;
+    uint64_t incarnation = 0;
+    // Digest of method, path and body: a key belongs to one call.
+    std::string fingerprint;
+    recorded_answer answer;
+
+    friend bool operator==(const claim_record&, const claim_record&) = default;
+};
+
+std::string encodeClaim(const claim_record& record);
+
+// Throws record_error.
+claim_record decodeClaim(const std::string& text);
+
+// Who may run the call of one key, and what came of it.
+struct claim_entry {
+    request_id owner;
+    instance_id daemon;
+    uint64_t incarnation = 0;
+    std::string fingerprint;
+    int64_t claimedMilliseconds = 0;
+    std::optional<recorded_answer> answer;
+};
+
+// Turns the claim stream into the owners of keys: a pure function of the records and their log times.
+class claim_fold {
+public:
+    // lifetimeMilliseconds: how long a key is remembered.
+    explicit claim_fold(int64_t lifetimeMilliseconds);
+
+    // logMilliseconds: the log's time of the record.
+    void apply(const claim_record& record, int64_t logMilliseconds);
+
+    const claim_entry* find(const std::string& key) const;
+    size_t size() const { return m_entries.size(); }
+
+private:
+    void expire(int64_t logMilliseconds);
+
+    struct dated_key {
+        int64_t claimedMilliseconds;
+        std::string key;
+    };
+
+    int64_t m_lifetimeMilliseconds;
+    std::unordered_map<std::string, claim_entry> m_entries;
+    std::deque<dated_key> m_byAge;
+};
+
+} // namespace pollen
--- /dev/null
+++ b/libs/fleet/include/fleet/server_table.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <base/clock.h>
+#include <config/fleet_document.h>
+#include <fleet/handles.h>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace pollen {
+
+// One backend server as the instance list or the fleet document describes it.
+struct listed_server {
+    server_entry entry;
+    // The platform is taking the instance away; it must get no new work.
+    bool leaving = false;
+
+    friend bool operator==(const listed_server&, const listed_server&) = default;
+};
+
+// One backend server as this daemon sees it.
+struct server_row {
+    server_entry entry;
+    // False for a free slot.
+    bool used = false;
+    bool leaving = false;
+    // Requests of this daemon that are running there.
+    uint32_t ownRequests = 0;
+    // Requests of other daemons, from the last load report.
+    uint32_t otherRequests = 0;
+    uint32_t consecutiveFailures = 0;
+    // No new work before this time, after a failure.
+    time_point unavailableUntil {};
+
+    bool takesWork(time_point now) const { return used && !leaving && now >= unavailableUntil; }
+    uint32_t outstanding() const { return ownRequests + otherRequests; }
+};
+
+// The backend servers. Rows keep their handle while they are used or have requests running.
+class server_table {
+public:
+    // Brings the table in line with a list: adds, changes, and marks as leaving what is no longer listed.
+    void replaceListed(const std::vector<listed_server>& list);
+
+    // Frees rows that are leaving, unlisted and idle.
+    void sweep();
+
+    std::optional<server_handle> find(const instance_id& id) const;
+    const server_row& row(server_handle server) const { return m_rows[server.index]; }
+    const std::vector<server_row>& rows() const { return m_rows; }
+
+    void addRequest(server_handle server) { ++m_rows[server.index].ownRequests; }
+    void removeRequest(server_handle server);
+    void reportLoad(server_handle server, uint32_t allRequests, bool leaving);
+    void reportSuccess(server_handle server) { m_rows[server.index].consecutiveFailures = 0; }
+    // Takes the server out of choice for a time that doubles with each failure in a row.
+    void reportFailure(server_handle server, time_point now);
+
+private:
+    server_handle add(const server_entry& entry);
+
+    std::vector<server_row> m_rows;
+    std::vector<bool> m_listed;
+    std::unordered_map<instance_id, server_handle> m_byId;
+};
+
+} // namespace pollen
--- /dev/null
+++ b/libs/fleet/src/server_table.cpp
@@ -0,0 +1,93 @@
+#include <fleet/server_table.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace pollen {
+
+namespace {
+
+constexpr duration firstBackoff = std::chrono::milliseconds(250);
+constexpr duration longestBackoff = std::chrono::seconds(8);
+constexpr uint32_t maximumDoublings = 5;
+
+} // namespace
+
+void server_table::replaceListed(const std::vector<listed_server>& list)
+{
+    m_listed.assign(m_rows.size(), false);
+    for (const listed_server& listed : list) {
+        const server_handle server = find(listed.entry.id).value_or(server_handle { UINT32_MAX });
+        const server_handle target = server.index == UINT32_MAX ? add(listed.entry) : server;
+        server_row& row = m_rows[target.index];
+        // A replacement at a new address starts without the failures of the old one.
+        if (row.entry.address != listed.entry.address) {
+            row.consecutiveFailures = 0;
+            row.unavailableUntil = time_point {};
+        }
+        row.entry = listed.entry;
+        row.leaving = listed.leaving;
+        m_listed[target.index] = true;
+    }
+    for (size_t i = 0; i < m_rows.size(); ++i) {
+        if (!m_listed[i])
+            m_rows[i].leaving = true;
+    }
+    sweep();
+}
+
+void server_table::sweep()
+{
+    for (size_t i = 0; i < m_rows.size(); ++i) {
+        server_row& row = m_rows[i];
+        if (!row.used || m_listed[i] || row.ownRequests > 0)
+            continue;
+        m_byId.erase(row.entry.id);
+        row = server_row();
+    }
+}
+
+std::optional<server_handle> server_table::find(const instance_id& id) const
+{
+    const auto found = m_byId.find(id);
+    if (found == m_byId.end())
+        return std::nullopt;
+    return found->second;
+}
+
+void server_table::removeRequest(server_handle server)
+{
+    assert(m_rows[server.index].ownRequests > 0);
+    --m_rows[server.index].ownRequests;
+}
+
+void server_table::reportLoad(server_handle server, uint32_t allRequests, bool leaving)
+{
+    server_row& row = m_rows[server.index];
+    row.otherRequests = allRequests - std::min(allRequests, row.ownRequests);
+    row.leaving = row.leaving || leaving;
+}
+
+void server_table::reportFailure(server_handle server, time_point now)
+{
+    server_row& row = m_rows[server.index];
+    const uint32_t doublings = std::min(row.consecutiveFailures, maximumDoublings);
+    ++row.consecutiveFailures;
+    row.unavailableUntil = now + std::min(longestBackoff, firstBackoff * (1 << doublings));
+}
+
+server_handle server_table::add(const server_entry& entry)
+{
+    const auto free = std::find_if(m_rows.begin(), m_rows.end(), [](const server_row& row) { return !row.used; });
+    const server_handle server { static_cast<uint32_t>(free - m_rows.begin()) };
+    if (free == m_rows.end()) {
+        m_rows.emplace_back();
+        m_listed.push_back(false);
+    }
+    m_rows[server.index].entry = entry;
+    m_rows[server.index].used = true;
+    m_byId[entry.id] = server;
+    return server;
+}
+
+} // namespace pollen
--- /dev/null
+++ b/libs/gateway/include/gateway/caller_gateway.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <gateway/gateway_dependencies.h>
+#include <http/http_server.h>
+#include <set>
+
+namespace pollen {
+
+class caller_exchange;
+
+// Serves callers: chat completions, the list of models and routed services.
+class caller_gateway {
+public:
+    explicit caller_gateway(gateway_dependencies& dependencies);
+    ~caller_gateway();
+    caller_gateway(const caller_gateway&) = delete;
+    caller_gateway& operator=(const caller_gateway&) = delete;
+
+    // Handles one request. Every request gets exactly one answer.
+    void handle(std::shared_ptr<server_request> request);
+
+    // Readiness: false before the first configuration and while stopping.
+    bool ready() const { return !m_draining && m_dependencies.tables.document(); }
+    void setDraining() { m_draining = true; }
+    bool draining() const { return m_draining; }
+
+    // Requests that are not finished, including calls that go on after their caller went away.
+    size_t openRequests() const { return m_open.size(); }
+
+private:
+    request_id nextRequestId();
+    void dispatch(const std::shared_ptr<server_request>& request, const request_id& id);
+    void listModels(server_request& request, const request_id& id);
+    void start(std::shared_ptr<caller_exchange> exchange);
+
+    gateway_dependencies& m_dependencies;
+    std::string m_idPrefix;
+    uint64_t m_idCounter = 0;
+    bool m_draining = false;
+    std::set<std::shared_ptr<caller_exchange>> m_open;
+};
+
+} // namespace pollen
--- /dev/null
+++ b/libs/gateway/include/gateway/decision_journal.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <base/typed_id.h>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <policy/route_decision.h>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace pollen {
+
+// A decision with the document it was made from, which its handles refer to.
+struct journal_decision {
+    std::shared_ptr<const fleet_document> document;
+    route_decision decision;
+    // Empty when no server was chosen.
+    instance_id server;
+};
+
+// One thing that happened to a request.
+struct journal_step {
+    // Wall clock, milliseconds since the Unix epoch.
+    int64_t timeMilliseconds = 0;
+    std::string event;
+    std::string detail;
+    std::optional<journal_decision> decision {};
+};
+
+// Remembers what happened to the latest requests, so that it can be explained.
+class decision_journal {
+public:
+    // capacity: number of requests remembered.
+    explicit decision_journal(size_t capacity);
+
+    void add(const request_id& request, journal_step step);
+
+    // The steps of a request as one line of JSON; none when it is not or no longer known.
+    std::optional<std::string> explain(const request_id& request) const;
+
+private:
+    size_t m_capacity;
+    std::deque<request_id> m_order;
+    std::unordered_map<request_id, std::vector<journal_step>> m_steps;
+};
+
+} // namespace pollen
--- /dev/null
+++ b/libs/gateway/include/gateway/gateway_dependencies.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <backend/model_engine.h>
+#include <backend/plain_service.h>
+#include <base/logger.h>
+#include <config/daemon_settings.h>
+#include <control/bill_ledger.h>
+#include <control/claim_ledger.h>
+#include <fleet/fleet_tables.h>
+#include <gateway/decision_journal.h>
+#include <gateway/gateway_metrics.h>
+#include <gateway/retry_budget.h>
+#include <policy/route_policy.h>
+
+namespace pollen {
+
+// What the handling of a request needs; all of it outlives every request.
+struct gateway_dependencies {
+    event_loop& loop;
+    const clock& time;
+    random_source& random;
+    logger& log;
+    const daemon_settings& settings;
+    fleet_tables& tables;
+    const route_policy& policy;
+    model_engine& engine;
+    plain_service& service;
+    bill_ledger& bills;
+    claim_ledger& claims;
+    gateway_metrics& metrics;
+    decision_journal& journal;
+    retry_budget& retries;
+};
+
+} // namespace pollen
--- /dev/null
+++ b/libs/gateway/src/caller_exchange.cpp
@@ -0,0 +1,100 @@
+#include "caller_exchange.h"
+
+#include <base/digest.h>
+
+namespace pollen {
+
+namespace {
+
+constexpr duration retryAfterLimit = std::chrono::seconds(1);
+constexpr duration retryAfterOutage = std::chrono::seconds(5);
+
+} // namespace
+
+caller_exchange::caller_exchange(
+    gateway_dependencies& dependencies, std::shared_ptr<server_request> request, request_id id)
+    : m_dependencies(dependencies)
+    , m_request(std::move(request))
+    , m_id(std::move(id))
+    , m_start(dependencies.time.now())
+{
+}
+
+caller_exchange::~caller_exchange()
+{
+    if (m_counted)
+        m_dependencies.tables.removeTeamRequest(m_team);
+}
+
+void caller_exchange::start(std::function<void()> onEnd)
+{
+    m_onEnd = std::move(onEnd);
+    m_request->setHangUpCallback([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && !self->ended())
+            self->onCallerGone();
+    });
+    try {
+        begin();
+    } catch (const request_error& problem) {
+        refuse(problem.response());
+    }
+}
+
+void caller_exchange::admit(const team_name& team, const class_name& requestClass)
+{
+    m_team = team;
+    m_class = requestClass;
+    const auto handle = m_dependencies.tables.findTeam(team);
+    const team_row& row = m_dependencies.tables.team(*handle);
+    if (row.ownRequests >= row.entry->maximumRequests)
+        throw request_error({ error_kind::TooManyRequests, run_state::NotRun,
+            "the team has as many requests running as it may", retryAfterLimit });
+    if (m_dependencies.bills.full())
+        throw request_error({ error_kind::Overloaded, run_state::NotRun, "too many bills wait for the platform's log",
+            retryAfterOutage });
+    m_dependencies.tables.addTeamRequest(team);
+    m_counted = true;
+    m_dependencies.retries.onRequest();
+}
+
+void caller_exchange::refuse(const api_error& error)
+{
+    const http_response response = toResponse(error, m_id);
+    m_request->reply(response.status, response.headers, response.body);
+    note("refused", error.message);
+    end(toText(error.kind));
+}
+
+void caller_exchange::end(const std::string& outcome)
+{
+    if (ended())
+        return;
+    m_dependencies.metrics.countRequest(m_team, m_class, outcome);
+    m_dependencies.log.write(log_level::Info, "request",
+        { { "request", m_id.text() }, { "team", m_team.text() }, { "class", m_class.text() }, { "target", m_target },
+            { "server", m_server.text() }, { "outcome", outcome },
+            { "ms", std::chrono::duration<double, std::milli>(elapsed()).count() } });
+    std::exchange(m_onEnd, nullptr)();
+}
+
+void caller_exchange::note(const std::string& event, const std::string& detail)
+{
+    m_dependencies.journal.add(m_id, { m_dependencies.time.wallMilliseconds(), event, detail });
+}
+
+duration caller_exchange::elapsed() const { return m_dependencies.time.now() - m_start; }
+
+http_headers caller_exchange::answerHeaders(run_state run) const
+{
+    return { { "X-Request-Id", m_id.text() }, { "X-Pollen-Run", toText(run) } };
+}
+
+std::string caller_exchange::billId(const std::string& scope, const std::string& idempotencyKey) const
+{
+    if (idempotencyKey.empty())
+        return m_id.text();
+    return sha256Hex(m_team.text() + "\n" + scope + "\n" + idempotencyKey);
+}
+
+} // namespace pollen
--- /dev/null
+++ b/libs/gateway/src/chat_exchange.cpp
@@ -0,0 +1,367 @@
+#include "chat_exchange.h"
+
+#include "caller_identity.h"
+
+#include <algorithm>
+#include <base/digest.h>
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+namespace pollen {
+
+namespace {
+
+constexpr duration retryAfterNoServer = std::chrono::seconds(1);
+constexpr double tokensPerCostUnit = 1000;
+constexpr const char* eventStream = "text/event-stream";
+constexpr const char* json = "application/json";
+constexpr std::string_view closingEvent = "data: [DONE]\n\n";
+
+// An even point in [0, 1) for a text; every daemon finds the same.
+double pointOf(const std::string& text)
+{
+    constexpr int mantissaBits = 53;
+    return std::ldexp(static_cast<double>(XXH3_64bits(text.data(), text.size()) >> (64 - mantissaBits)), -mantissaBits);
+}
+
+error_kind toKind(route_outcome outcome)
+{
+    switch (outcome) {
+    case route_outcome::NothingAllowed:
+        return error_kind::NotAllowed;
+    case route_outcome::QualityUnreachable:
+        return error_kind::QualityUnreachable;
+    case route_outcome::DeadlineUnreachable:
+        return error_kind::DeadlineUnreachable;
+    case route_outcome::SessionConflict:
+        return error_kind::SessionConflict;
+    default:
+        return error_kind::NoServerAvailable;
+    }
+}
+
+} // namespace
+
+chat_exchange::~chat_exchange() { releaseServer(); }
+
+void chat_exchange::begin()
+{
+    const http_request& request = m_request->request();
+    const fleet_tables& tables = m_dependencies.tables;
+    const team_handle team = authenticate(request, tables);
+    const class_handle requestClass = requestedClass(request, tables, team);
+    m_idempotencyKey = idempotencyKey(request);
+    m_chat = parseChatRequest(request.body);
+    admit(tables.team(team).entry->name, tables.requestClass(requestClass).name);
+    const duration timeLeft = requestedDeadline(
+        request, tables.requestClass(requestClass).deadline, m_dependencies.settings.limits.requestTimeout);
+    m_deadline = m_start + timeLeft;
+    m_measures = &m_dependencies.metrics.of(m_team, m_class);
+    readSession();
+    const version_ref& wanted = m_chat.wanted;
+    const auto& versions = tables.versions();
+    const bool known
+        = wanted.model.empty() || std::any_of(versions.begin(), versions.end(), [&](const version_row& row) {
+              return row.entry->ref.model == wanted.model
+                  && (wanted.version.empty() || row.entry->ref.version == wanted.version);
+          });
+    if (!known)
+        throw request_error(
+            { error_kind::UnknownModel, run_state::NotRun, "there is no model '" + wanted.text() + "'" });
+    attempt();
+}
+
+// The header X-Pollen-Session holds "new", or the token that came with the last answer of the session.
+void chat_exchange::readSession()
+{
+    const std::string token(findHeader(m_request->request().headers, "X-Pollen-Session"));
+    if (token.empty())
+        return;
+    if (token == "new") {
+        m_session = session { m_id.text(), m_team, {} };
+        return;
+    }
+    m_session = decodeSession(token, m_dependencies.settings.sessionSecret);
+    if (!m_session || m_session->team != m_team)
+        throw request_error({ error_kind::InvalidSession, run_state::NotRun, "the session token is not valid" });
+}
+
+route_request chat_exchange::makeRouteRequest() const
+{
+    const fleet_tables& tables = m_dependencies.tables;
+    const auto team = tables.findTeam(m_team);
+    const auto requestClass = tables.findClass(m_class);
+    // A configuration that came into force between two attempts may have removed either.
+    if (!team || !requestClass)
+        throw request_error({ error_kind::NotAllowed, runState(), "the team or the class is no longer configured" });
+    route_request request;
+    request.team = *team;
+    request.requestClass = *requestClass;
+    request.wanted = m_chat.wanted;
+    if (m_session && !m_session->version.model.empty())
+        request.sessionVersion = m_session->version;
+    request.promptTokens = m_chat.promptTokens;
+    request.outputTokens = m_chat.outputTokens;
+    request.timeLeft = m_deadline - m_dependencies.time.now();
+    request.rolloutPoint = pointOf(m_session ? m_session->id : m_id.text());
+    request.excluded = m_failedServers;
+    return request;
+}
+
+void chat_exchange::attempt()
+{
+    const route_decision decision = m_dependencies.policy.decide(
+        makeRouteRequest(), m_dependencies.tables, m_dependencies.time.now(), m_dependencies.random);
+    recordDecision(decision);
+    if (decision.outcome == route_outcome::Chosen)
+        callEngine(decision);
+    else
+        refuseRoute(decision);
+}
+
+void chat_exchange::recordDecision(const route_decision& decision)
+{
+    journal_step step { m_dependencies.time.wallMilliseconds(), "decided", "", std::nullopt };
+    step.decision = journal_decision { m_dependencies.tables.document(), decision, {} };
+    if (decision.outcome == route_outcome::Chosen)
+        step.decision->server = m_dependencies.tables.servers().row(decision.server).entry.id;
+    m_dependencies.journal.add(m_id, std::move(step));
+}
+
+void chat_exchange::refuseRoute(const route_decision& decision)
+{
+    api_error error { toKind(decision.outcome), runState(),
+        std::string("no version can serve this request: ") + toText(decision.outcome) };
+    if (error.kind == error_kind::NoServerAvailable)
+        error.retryAfter = retryAfterNoServer;
+    refuse(error);
+}
+
+void chat_exchange::callEngine(const route_decision& decision)
+{
+    fleet_tables& tables = m_dependencies.tables;
+    const version_entry& version = *tables.version(decision.version).entry;
+    const server_row& server = tables.servers().row(decision.server);
+    m_version = version.ref;
+    m_inputCost = version.inputCost;
+    m_outputCost = version.outputCost;
+    m_target = version.ref.text();
+    m_server = server.entry.id;
+    if (m_session && !m_session->version.model.empty() && m_session->version != m_version)
+        m_sessionChange = "version_unavailable";
+    ++m_attempts;
+    tables.servers().addRequest(decision.server);
+    m_busyServer = decision.server;
+    m_dependencies.metrics.countRouted(m_target);
+    engine_request request;
+    request.id = m_id;
+    request.version = m_version;
+    request.body = m_request->request().body;
+    request.streaming = m_chat.streaming;
+    request.priority = tables.document()->findClass(m_class)->priority;
+    request.timeout = m_deadline - m_dependencies.time.now();
+    m_call = m_dependencies.engine.generate(server.entry.address, request, *this);
+}
+
+void chat_exchange::releaseServer()
+{
+    if (m_busyServer)
+        m_dependencies.tables.servers().removeRequest(*std::exchange(m_busyServer, std::nullopt));
+}
+
+void chat_exchange::onBytes(std::string_view bytes)
+{
+    const time_point now = m_dependencies.time.now();
+    if (m_lastBytes == time_point {})
+        m_measures->firstToken.Observe(toSeconds(now - m_start));
+    else
+        m_measures->betweenTokens.Observe(toSeconds(now - m_lastBytes));
+    m_lastBytes = now;
+    m_partsSeen += static_cast<uint64_t>(std::count(bytes.begin(), bytes.end(), '\n')) / 2;
+    m_pending += bytes;
+    if (!m_chat.streaming || m_flushPosted)
+        return;
+    // What arrives in one turn of the loop goes out in one piece.
+    m_flushPosted = true;
+    m_dependencies.loop.post([weak = weak_from_this(), this] {
+        const auto self = weak.lock();
+        if (self && !ended())
+            flush();
+    });
+}
+
+void chat_exchange::startStream()
+{
+    if (m_streamStarted)
+        return;
+    m_streamStarted = true;
+    m_request->startStream(200, headersOfAnswer(eventStream));
+}
+
+void chat_exchange::flush()
+{
+    m_flushPosted = false;
+    startStream();
+    m_request->sendPart(m_pending);
+    m_pending.clear();
+    if (m_paused || !m_call || m_request->unsentBytes() < m_dependencies.settings.limits.streamBufferBytes)
+        return;
+    m_paused = true;
+    m_call->pause();
+    resumeWhenSent();
+}
+
+void chat_exchange::resumeWhenSent()
+{
+    m_request->callWhenSent([weak = weak_from_this(), this] {
+        const auto self = weak.lock();
+        if (!self || ended() || !m_call)
+            return;
+        m_paused = false;
+        m_call->resume();
+    });
+}
+
+void chat_exchange::onAnswered(const token_usage& usage)
+{
+    m_dependencies.tables.servers().reportSuccess(*m_busyServer);
+    releaseServer();
+    m_dependencies.loop.post([call = std::shared_ptr<engine_call>(std::move(m_call))] {});
+    const bill bill = makeBill(usage);
+    countBill(bill);
+    m_dependencies.bills.record(bill, [weak = weak_from_this(), this] {
+        const auto self = weak.lock();
+        if (self && !ended())
+            finishAnswer();
+    });
+}
+
+void chat_exchange::finishAnswer()
+{
+    m_measures->latency.Observe(toSeconds(elapsed()));
+    if (m_chat.streaming) {
+        startStream();
+        m_pending += closingEvent;
+        m_request->sendPart(m_pending);
+        m_request->endStream();
+    } else {
+        m_request->reply(200, headersOfAnswer(json), m_pending);
+    }
+    note("answered", m_target);
+    end("ok");
+}
+
+void chat_exchange::onFailed(backend_failure failure, const std::string& detail)
+{
+    note("failed", m_server.text() + ": " + toText(failure));
+    const bool notRun = certainlyNotRun(failure) || failure == backend_failure::Rejected;
+    m_certainlyNotRun = m_certainlyNotRun && notRun;
+    const server_handle server = *m_busyServer;
+    releaseServer();
+    // The call is inside its own callback, so the loop frees it later.
+    m_dependencies.loop.post([call = std::shared_ptr<engine_call>(std::move(m_call))] {});
+    if (failure != backend_failure::Rejected && failure != backend_failure::Busy)
+        m_dependencies.tables.servers().reportFailure(server, m_dependencies.time.now());
+    m_failedServers.push_back(server);
+    if (!mayRetry(failure)) {
+        failAnswer(failure, detail);
+        return;
+    }
+    m_dependencies.metrics.countRetry(toText(failure));
+    m_pending.clear();
+    m_partsSeen = 0;
+    try {
+        attempt();
+    } catch (const request_error& problem) {
+        refuse(problem.response());
+    }
+}
+
+// Generating an answer again is harmless as long as the caller has seen nothing of the first one.
+bool chat_exchange::mayRetry(backend_failure failure)
+{
+    const bool seen = m_streamStarted || failure == backend_failure::Rejected;
+    if (seen || m_attempts >= static_cast<size_t>(m_dependencies.settings.limits.maximumAttempts))
+        return false;
+    return m_dependencies.time.now() < m_deadline && m_dependencies.retries.take();
+}
+
+void chat_exchange::failAnswer(backend_failure failure, const std::string& detail)
+{
+    const api_error error = toError(failure, detail);
+    if (!m_streamStarted) {
+        refuse(error);
+        return;
+    }
+    // The status line is out. The error goes into the stream, which then ends without its closing event.
+    m_request->sendPart(m_pending + "event: error\ndata: " + toJson(error, m_id) + "\n\n");
+    m_request->endStream();
+    m_dependencies.bills.record(makeBill({ m_chat.promptTokens, m_partsSeen }), [] {});
+    end(toText(error.kind));
+}
+
+api_error chat_exchange::toError(backend_failure failure, const std::string& detail) const
+{
+    const run_state run = runState();
+    if (failure == backend_failure::Rejected)
+        return { error_kind::BackendRejected, run, detail };
+    if (failure == backend_failure::TimedOut)
+        return { error_kind::BackendTimedOut, run, "the answer did not arrive before the deadline" };
+    if (certainlyNotRun(failure))
+        return { error_kind::NoServerAvailable, run, std::string("the last server tried: ") + toText(failure),
+            retryAfterNoServer };
+    return { error_kind::BackendFailed, run, std::string("the last server tried: ") + toText(failure) };
+}
+
+void chat_exchange::onCallerGone()
+{
+    m_call.reset();
+    releaseServer();
+    if (m_partsSeen > 0) {
+        const bill bill = makeBill({ m_chat.promptTokens, m_partsSeen });
+        countBill(bill);
+        m_dependencies.bills.record(bill, [] {});
+    }
+    note("cancelled", "the caller hung up");
+    end("cancelled");
+}
+
+bill chat_exchange::makeBill(const token_usage& usage) const
+{
+    bill bill;
+    bill.id = billId("chat", m_idempotencyKey);
+    bill.request = m_id;
+    bill.team = m_team;
+    bill.requestClass = m_class;
+    bill.target = m_target;
+    bill.promptTokens = usage.promptTokens;
+    bill.outputTokens = usage.outputTokens;
+    bill.cost = (static_cast<double>(usage.promptTokens) * m_inputCost
+                    + static_cast<double>(usage.outputTokens) * m_outputCost)
+        / tokensPerCostUnit;
+    bill.timeMilliseconds = m_dependencies.time.wallMilliseconds();
+    return bill;
+}
+
+void chat_exchange::countBill(const bill& bill)
+{
+    m_measures->outputTokens.Increment(static_cast<double>(bill.outputTokens));
+    m_measures->cost.Increment(bill.cost);
+}
+
+http_headers chat_exchange::headersOfAnswer(const char* contentType) const
+{
+    http_headers headers = answerHeaders(run_state::Ran);
+    headers.emplace_back("Content-Type", contentType);
+    headers.emplace_back("X-Pollen-Model", m_version.model.text());
+    headers.emplace_back("X-Pollen-Version", m_version.version.text());
+    if (!m_session)
+        return headers;
+    const session kept { m_session->id, m_team, m_version };
+    headers.emplace_back("X-Pollen-Session", encodeSession(kept, m_dependencies.settings.sessionSecret));
+    if (!m_sessionChange.empty())
+        headers.emplace_back("X-Pollen-Session-Changed", m_sessionChange);
+    return headers;
+}
+
+} // namespace pollen
--- /dev/null
+++ b/libs/gateway/src/chat_exchange.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "caller_exchange.h"
+
+#include <gateway/chat_request.h>
+#include <gateway/session_token.h>
+
+namespace pollen {
+
+// One chat completion: chooses a version and a server, relays the answer, retries while the caller has seen nothing,
+// and bills once.
+class chat_exchange final : public caller_exchange, private engine_listener {
+public:
+    using caller_exchange::caller_exchange;
+    ~chat_exchange() override;
+
+private:
+    void begin() override;
+    void onCallerGone() override;
+
+    void onBytes(std::string_view bytes) override;
+    void onAnswered(const token_usage& usage) override;
+    void onFailed(backend_failure failure, const std::string& detail) override;
+
+    void readSession();
+    void attempt();
+    route_request makeRouteRequest() const;
+    void recordDecision(const route_decision& decision);
+    void refuseRoute(const route_decision& decision);
+    void callEngine(const route_decision& decision);
+    void releaseServer();
+    bool mayRetry(backend_failure failure);
+    run_state runState() const { return m_certainlyNotRun ? run_state::NotRun : run_state::Unknown; }
+    void failAnswer(backend_failure failure, const std::string& detail);
+    api_error toError(backend_failure failure, const std::string& detail) const;
+    void startStream();
+    void flush();
+    void resumeWhenSent();
+    void finishAnswer();
+    bill makeBill(const token_usage& usage) const;
+    void countBill(const bill& bill);
+    http_headers headersOfAnswer(const char* contentType) const;
+
+    chat_request m_chat;
+    std::string m_idempotencyKey;
+    time_point m_deadline {};
+    std::optional<session> m_session;
+    // Why the session did not keep its version; empty when it did.
+    std::string m_sessionChange;
+    version_ref m_version;
+    double m_inputCost = 0;
+    double m_outputCost = 0;
+    team_class_metrics* m_measures = nullptr;
+    std::unique_ptr<engine_call> m_call;
+    std::optional<server_handle> m_busyServer;
+    std::vector<server_handle> m_failedServers;
+    size_t m_attempts = 0;
+    // False once an attempt may have run.
+    bool m_certainlyNotRun = true;
+    std::string m_pending;
+    bool m_flushPosted = false;
+    bool m_streamStarted = false;
+    bool m_paused = false;
+    uint64_t m_partsSeen = 0;
+    time_point m_lastBytes {};
+};
+
+} // namespace pollen
--- /dev/null
+++ b/libs/gateway/src/service_exchange.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "caller_exchange.h"
+
+namespace pollen {
+
+// One call to a routed service. A call that must not be repeated is claimed before it runs, if its caller gave it an
+// idempotency key, and is sent to one server only.
+class service_exchange final : public caller_exchange {
+public:
+    // service and target: the parts of /services/NAME/REST after the prefix.
+    service_exchange(gateway_dependencies& dependencies, std::shared_ptr<server_request> request, request_id id,
+        service_name service, std::string target);
+    ~service_exchange() override;
+
+private:
+    void begin() override;
+    void onCallerGone() override;
+
+    void claim();
+    void onClaim(claim_outcome outcome, const recorded_answer* answer);
+    void replay(const recorded_answer& answer);
+    void attempt();
+    void onCalled(const service_answer* answer, std::optional<backend_failure> failure);
+    void onAnswered(const service_answer& answer);
+    void onFailed(backend_failure failure);
+    void fail(backend_failure failure);
+    void releaseServer();
+
+    service_name m_service;
+    std::string m_path;
+    std::string m_idempotencyKey;
+    // Set when the call was claimed.
+    std::string m_claimKey;
+    bool m_repeatable = false;
+    double m_cost = 0;
+    time_point m_deadline {};
+    std::unique_ptr<service_handle> m_call;
+    std::optional<server_handle> m_busyServer;
+    std::vector<server_handle> m_failedServers;
+    size_t m_attempts = 0;
+    // False once an attempt may have run.
+    bool m_certainlyNotRun = true;
+};
+
+} // namespace pollen
--- /dev/null
+++ b/libs/http/include/http/http_message.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace pollen {
+
+// Header names and values in wire order.
+using http_headers = std::vector<std::pair<std::string, std::string>>;
+
+// The value of the first header with that name, compared without case; empty when absent.
+std::string_view findHeader(const http_headers& headers, std::string_view name);
+
+struct http_request {
+    std::string method = "GET";
+    // Path with query string, as it goes on the request line.
+    std::string target = "/";
+    http_headers headers;
+    std::string body;
+
+    friend bool operator==(const http_request&, const http_request&) = default;
+};
+
+struct http_response {
+    int status = 0;
+    http_headers headers;
+    std::string body;
+
+    friend bool operator==(const http_response&, const http_response&) = default;
+};
+
+// True for methods that RFC 9110 defines as idempotent.
+bool isIdempotentMethod(std::string_view method);
+
+// The value of a query parameter of a target such as "/x?from=3"; empty when absent. Not percent-decoded.
+std::string_view queryParameter(std::string_view target, std::string_view name);
+
+// The part of a target before its query string.
+std::string_view targetPath(std::string_view target);
+
+} // namespace pollen
--- /dev/null
+++ b/libs/http/src/event_loop.cpp
@@ -0,0 +1,117 @@
+#include <http/event_loop.h>
+
+#include <base/error.h>
+#include <cerrno>
+#include <csignal>
+#include <event2/event.h>
+
+namespace pollen {
+
+namespace {
+
+timeval toTimeval(duration span)
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(span);
+    return { static_cast<time_t>(seconds.count()), static_cast<suseconds_t>((span - seconds).count()) };
+}
+
+} // namespace
+
+event_loop::event_loop()
+    : m_base(event_base_new())
+    , m_wake(nullptr)
+{
+    if (!m_base)
+        throw system_error("event_base_new", errno);
+    // A write to a connection that the other side has closed must report an error instead of ending the process.
+    ::signal(SIGPIPE, SIG_IGN);
+    const auto onWake = [](evutil_socket_t, short, void* self) { static_cast<event_loop*>(self)->runPosted(); };
+    m_wake = event_new(m_base, -1, 0, onWake, this);
+}
+
+event_loop::~event_loop()
+{
+    // Tasks may post further tasks while they free connections; the bound only guards against an endless chain.
+    constexpr int maximumRounds = 16;
+    for (int round = 0; round < maximumRounds && !m_posted.empty(); ++round)
+        runPosted();
+    event_free(m_wake);
+    event_base_free(m_base);
+}
+
+void event_loop::run() { event_base_loop(m_base, EVLOOP_NO_EXIT_ON_EMPTY); }
+
+bool event_loop::runUntil(const std::function<bool()>& done, duration atMost)
+{
+    bool expired = false;
+    timer limit(*this, [&] { expired = true; });
+    limit.startOnce(atMost);
+    while (!expired && !done())
+        event_base_loop(m_base, EVLOOP_ONCE);
+    return done();
+}
+
+void event_loop::stop() { event_base_loopbreak(m_base); }
+
+void event_loop::post(std::function<void()> task)
+{
+    if (m_posted.empty())
+        event_active(m_wake, EV_TIMEOUT, 0);
+    m_posted.push_back(std::move(task));
+}
+
+void event_loop::runPosted()
+{
+    std::vector<std::function<void()>> tasks;
+    tasks.swap(m_posted);
+    for (const auto& task : tasks)
+        task();
+}
+
+timer::timer(event_loop& loop, std::function<void()> callback)
+    : m_callback(std::move(callback))
+    , m_event(nullptr)
+{
+    const auto onTimer = [](evutil_socket_t, short, void* argument) {
+        auto* self = static_cast<timer*>(argument);
+        if (self->m_interval.count() > 0)
+            self->start(self->m_interval);
+        self->m_callback();
+    };
+    m_event = event_new(loop.base(), -1, 0, onTimer, this);
+}
+
+timer::~timer() { event_free(m_event); }
+
+void timer::startOnce(duration delay)
+{
+    m_interval = duration(0);
+    start(delay);
+}
+
+void timer::startRepeating(duration interval)
+{
+    m_interval = interval;
+    start(interval);
+}
+
+void timer::stop() { event_del(m_event); }
+
+void timer::start(duration delay)
+{
+    const timeval when = toTimeval(delay);
+    event_add(m_event, &when);
+}
+
+signal_watch::signal_watch(event_loop& loop, int signalNumber, std::function<void()> callback)
+    : m_callback(std::move(callback))
+    , m_event(nullptr)
+{
+    const auto onSignal = [](evutil_socket_t, short, void* self) { static_cast<signal_watch*>(self)->m_callback(); };
+    m_event = evsignal_new(loop.base(), signalNumber, onSignal, this);
+    event_add(m_event, nullptr);
+}
+
+signal_watch::~signal_watch() { event_free(m_event); }
+
+} // namespace pollen
--- /dev/null
+++ b/libs/peer/include/peer/peer_node.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <base/clock.h>
+#include <base/logger.h>
+#include <base/random_source.h>
+#include <peer/peer_message.h>
+#include <peer/peer_table.h>
+#include <peer/peer_transport.h>
+
+namespace pollen {
+
+// Messages for whoever keeps bills; see bill_ledger.
+class bill_message_handler {
+public:
+    virtual ~bill_message_handler() = default;
+    virtual void onBillCopy(const instance_id& from, uint64_t incarnation, const endpoint& address, const bill& copy)
+        = 0;
+    virtual void onBillHeld(const std::string& billId) = 0;
+    virtual void onBillsSettled(const std::vector<std::string>& billIds) = 0;
+};
+
+// This daemon among its peers: sends heartbeats, keeps the peer table and hands out other messages.
+class peer_node {
+public:
+    struct identity {
+        instance_id id;
+        failure_domain_name failureDomain;
+        uint64_t incarnation = 0;
+        std::string secret;
+    };
+
+    // The state that heartbeats carry.
+    struct status {
+        log_offset configurationVersion = 0;
+        bool draining = false;
+        uint32_t openRequests = 0;
+    };
+
+    peer_node(identity identity, peer_transport& transport, peer_table& table, const clock& clock,
+        random_source& random, logger& logger);
+
+    void setBillHandler(bill_message_handler* handler) { m_billHandler = handler; }
+    void setStatus(const status& status) { m_status = status; }
+
+    // Sends one heartbeat to each peer, or to a random few where there are many.
+    void sendHeartbeats();
+    void send(const endpoint& to, peer_payload payload);
+
+    const identity& self() const { return m_identity; }
+    uint64_t droppedDatagrams() const { return m_dropped; }
+
+private:
+    void receive(const endpoint& from, std::string_view datagram);
+    void dispatch(const endpoint& from, const peer_message& message);
+
+    identity m_identity;
+    peer_transport& m_transport;
+    peer_table& m_table;
+    const clock& m_clock;
+    random_source& m_random;
+    logger& m_logger;
+    bill_message_handler* m_billHandler = nullptr;
+    status m_status;
+    uint64_t m_dropped = 0;
+};
+
+} // namespace pollen
--- /dev/null
+++ b/libs/peer/include/peer/peer_table.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <base/clock.h>
+#include <base/endpoint.h>
+#include <base/log_offset.h>
+#include <base/typed_id.h>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace pollen {
+
+// Another daemon as the platform's list names it.
+struct listed_peer {
+    instance_id id;
+    failure_domain_name failureDomain;
+    endpoint address;
+
+    friend bool operator==(const listed_peer&, const listed_peer&) = default;
+};
+
+struct peer_row {
+    listed_peer listed;
+    // False once the platform's list no longer names it.
+    bool onList = true;
+    // 0 until it has been heard.
+    uint64_t incarnation = 0;
+    time_point lastHeard {};
+    bool draining = false;
+    log_offset configurationVersion = 0;
+};
+
+// The other daemons of the fleet: named by the platform's list, judged alive by their heartbeats.
+class peer_table {
+public:
+    // silence: how long a peer may stay unheard before it counts as dead.
+    peer_table(instance_id self, duration silence);
+
+    void replaceListed(const std::vector<listed_peer>& list);
+
+    struct heard_peer {
+        instance_id id;
+        uint64_t incarnation;
+        failure_domain_name failureDomain;
+        endpoint address;
+        bool draining;
+        log_offset configurationVersion;
+    };
+    // Takes in a heartbeat. Returns true when an earlier incarnation of the peer is replaced by it.
+    bool hear(const heard_peer& peer, time_point now);
+
+    bool isAlive(const instance_id& id, time_point now) const;
+    // True when this very incarnation is alive.
+    bool isAlive(const instance_id& id, uint64_t incarnation, time_point now) const;
+
+    // Where the daemon is to be reached; none when it is not known.
+    std::optional<endpoint> addressOf(const instance_id& id) const;
+
+    // Alive peers that are not draining, those in other failure domains than the given one first.
+    std::vector<listed_peer> holders(const failure_domain_name& own, time_point now) const;
+
+    const std::map<instance_id, peer_row>& rows() const { return m_rows; }
+
+    // Forgets peers that are off the list and silent.
+    void sweep(time_point now);
+
+private:
+    instance_id m_self;
+    duration m_silence;
+    std::map<instance_id, peer_row> m_rows;
+};
+
+} // namespace pollen
--- /dev/null
+++ b/libs/platform/src/http_instance_directory.cpp
@@ -0,0 +1,77 @@
+#include <platform/http_instance_directory.h>
+
+#include <nlohmann/json.hpp>
+
+namespace pollen {
+
+namespace {
+
+constexpr duration answerTimeout = std::chrono::seconds(2);
+constexpr int statusOk = 200;
+
+std::optional<instance_role> parseRole(const std::string& text)
+{
+    if (text == "engine")
+        return instance_role::ModelEngine;
+    if (text == "service")
+        return instance_role::PlainService;
+    if (text == "router")
+        return instance_role::Router;
+    return std::nullopt;
+}
+
+// Entries of a role that this version does not know are passed over.
+std::vector<listed_instance> parseList(const std::string& body)
+{
+    std::vector<listed_instance> list;
+    const auto json = nlohmann::json::parse(body);
+    for (const auto& item : json.at("instances")) {
+        const auto role = parseRole(item.at("role").get<std::string>());
+        if (!role)
+            continue;
+        listed_instance instance;
+        instance.id = instance_id(item.at("id").get<std::string>());
+        instance.role = *role;
+        instance.failureDomain = failure_domain_name(item.at("failure_domain").get<std::string>());
+        instance.address = parseEndpoint(item.at("address").get<std::string>());
+        instance.leaving = item.at("state").get<std::string>() == "leaving";
+        instance.service = service_name(item.value("service", ""));
+        for (const auto& version : item.value("versions", nlohmann::json::array()))
+            instance.versions.push_back(parseVersionRef(version.get<std::string>()));
+        list.push_back(std::move(instance));
+    }
+    return list;
+}
+
+} // namespace
+
+http_instance_directory::http_instance_directory(http_client& client, const endpoint& server)
+    : m_client(client)
+    , m_server(server)
+{
+}
+
+void http_instance_directory::list(list_callback callback)
+{
+    exchange_options options;
+    options.timeout = answerTimeout;
+    const auto onFetched
+        = [callback = std::move(callback)](const exchange_result& result, const http_response& response) {
+              if (!result.ok() || response.status != statusOk) {
+                  callback(std::nullopt);
+                  return;
+              }
+              std::optional<std::vector<listed_instance>> list;
+              try {
+                  list = parseList(response.body);
+              } catch (const nlohmann::json::exception&) {
+                  list.reset();
+              } catch (const endpoint_error&) {
+                  list.reset();
+              }
+              callback(list);
+          };
+    m_client.fetch(m_server, { "GET", "/instances", {}, "" }, options, onFetched);
+}
+
+} // namespace pollen
