Run both deployments under changes and failures in one command

Change: pollenctl with eleven commands; examples/tausi and examples/razai; ./build.sh demo starts two fleets of four daemons each, sends real HTTP traffic, withdraws versions, publishes an exception, stops and kills daemons, and judges eleven promises from the stand-ins' records; ./build.sh run starts one daemon before one engine.

--- a/apps/pollenrouted/daemon.cpp
+++ b/apps/pollenrouted/daemon.cpp
@@ -155,7 +155,7 @@
         operator_dependencies { p.callers, p.shared, p.node, p.peers, p.configuration.get() });
     const http_server_limits limits = toServerLimits(settings.limits);
     p.callerServer = std::make_unique<http_server>(p.loop, settings.callers, limits,
-        [&p](std::shared_ptr<server_request> request) { p.callers.handle(std::move(request)); });
+        [&p](const std::shared_ptr<server_request>& request) { p.callers.handle(request); });
     p.operatorServer = std::make_unique<http_server>(p.loop, settings.operators, limits,
         [&p](const std::shared_ptr<server_request>& request) { p.operators->handle(*request); });
     for (const int number : { SIGTERM, SIGINT })
--- a/build.sh
+++ b/build.sh
@@ -11,6 +11,8 @@
 
   build    install missing packages, configure and build (default)
   test     build, then run every test
+  demo     build, then run both example deployments under changes and failures
+  run      build, then run one daemon before one engine, from examples/single
   format   format every source file
   lint     check formatting and run the linter
   clean    remove the build
@@ -47,9 +49,22 @@
     sources | grep '\.cpp$' | xargs -P "$(nproc)" -n 4 clang-tidy --quiet -p "$build_dir" 2>/dev/null
 }
 
+# One daemon and a stand-in for its engine, until interrupted. With an engine of your own at 127.0.0.1:9001 the stand-in
+# is not started.
+run_single() {
+    if ! (exec 3<> /dev/tcp/127.0.0.1/9001) 2> /dev/null; then
+        "$build_dir/standins/standins" -c examples/single/standins.toml > /dev/null &
+        trap "kill $! 2> /dev/null || true" EXIT
+    fi
+    echo "pollenrouted listens on 127.0.0.1:8080; stop it with Ctrl-C"
+    "$build_dir/apps/pollenrouted/pollenrouted" --config examples/single/daemon.toml
+}
+
 case "${1:-build}" in
     build) build ;;
     test) build; ctest --test-dir "$build_dir" --output-on-failure -j "$(nproc)" ;;
+    demo) build; demo/run.sh "$build_dir" ;;
+    run) build; run_single ;;
     format) sources | xargs clang-format -i ;;
     lint) lint ;;
     clean) rm -rf "$build_dir" ;;
--- a/libs/control/include/control/configuration_keeper.h
+++ b/libs/control/include/control/configuration_keeper.h
@@ -36,7 +36,6 @@
     fleet_tables& m_tables;
     instance_id m_self;
     random_source& m_random;
-    const clock& m_clock;
     logger& m_logger;
     configuration_fold m_fold;
     log_follower m_follower;
--- a/libs/control/src/configuration_keeper.cpp
+++ b/libs/control/src/configuration_keeper.cpp
@@ -17,7 +17,6 @@
     , m_tables(tables)
     , m_self(self)
     , m_random(random)
-    , m_clock(clock)
     , m_logger(logger)
     , m_follower(loop, log, configurationStream, random, clock,
           { [this](const log_record& record) { onRecord(record); },
--- /dev/null
+++ b/libs/ctl/src/command.cpp
@@ -0,0 +1,21 @@
+#include <ctl/command.h>
+
+#include "configuration_commands.h"
+
+namespace pollen {
+
+ctl_error::ctl_error(ctl_exit code, const std::string& message)
+    : error(message)
+    , m_code(code)
+{
+}
+
+std::vector<std::unique_ptr<command>> makeCommands()
+{
+    std::vector<std::unique_ptr<command>> commands = makeConfigurationCommands();
+    for (std::unique_ptr<command>& command : makeInspectionCommands())
+        commands.push_back(std::move(command));
+    return commands;
+}
+
+} // namespace pollen
--- /dev/null
+++ b/libs/ctl/src/configuration_commands.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <ctl/command.h>
+
+namespace pollen {
+
+// Commands that read or change the fleet's configuration.
+std::vector<std::unique_ptr<command>> makeConfigurationCommands();
+
+// Commands that ask daemons and the bills.
+std::vector<std::unique_ptr<command>> makeInspectionCommands();
+
+} // namespace pollen
--- a/libs/gateway/include/gateway/caller_gateway.h
+++ b/libs/gateway/include/gateway/caller_gateway.h
@@ -17,7 +17,7 @@
     caller_gateway& operator=(const caller_gateway&) = delete;
 
     // Handles one request. Every request gets exactly one answer.
-    void handle(std::shared_ptr<server_request> request);
+    void handle(const std::shared_ptr<server_request>& request);
 
     // Readiness: false before the first configuration and while stopping.
     bool ready() const { return !m_draining && m_dependencies.tables.document(); }
@@ -31,7 +31,7 @@
     request_id nextRequestId();
     void dispatch(const std::shared_ptr<server_request>& request, const request_id& id);
     void listModels(server_request& request, const request_id& id);
-    void start(std::shared_ptr<caller_exchange> exchange);
+    void start(const std::shared_ptr<caller_exchange>& exchange);
 
     gateway_dependencies& m_dependencies;
     std::string m_idPrefix;
--- a/libs/gateway/src/caller_gateway.cpp
+++ b/libs/gateway/src/caller_gateway.cpp
@@ -31,7 +31,7 @@
 
 request_id caller_gateway::nextRequestId() { return request_id(m_idPrefix + std::to_string(++m_idCounter)); }
 
-void caller_gateway::handle(std::shared_ptr<server_request> request)
+void caller_gateway::handle(const std::shared_ptr<server_request>& request)
 {
     const request_id id = nextRequestId();
     try {
@@ -97,7 +97,7 @@
     request.reply(200, { { "Content-Type", "application/json" }, { "X-Request-Id", id.text() } }, body.dump());
 }
 
-void caller_gateway::start(std::shared_ptr<caller_exchange> exchange)
+void caller_gateway::start(const std::shared_ptr<caller_exchange>& exchange)
 {
     m_open.insert(exchange);
     // The exchange ends inside its own code, so the loop lets go of it later.
