--- a/libs/backend/src/http_model_engine.cpp
+++ b/libs/backend/src/http_model_engine.cpp
@@ -40,6 +40,7 @@
         exchange_options options;
         options.timeout = request.timeout;
         options.connectTimeout = connectTimeout;
+        options.repeatable = true;
         m_exchange = client.start(server, std::move(message), options, *this);
     }
 
@@ -153,6 +154,7 @@
     exchange_options options;
     options.timeout = loadTimeout;
     options.connectTimeout = m_connectTimeout;
+    options.repeatable = true;
     const auto onFetched
         = [callback = std::move(callback)](const exchange_result& result, const http_response& response) {
               const bool ok = result.ok() && response.status == statusOk;
--- a/libs/backend/src/http_plain_service.cpp
+++ b/libs/backend/src/http_plain_service.cpp
@@ -28,6 +28,7 @@
         options.timeout = call.timeout;
         options.connectTimeout = connectTimeout;
         options.freshConnection = call.nonRepeatable;
+        options.repeatable = !call.nonRepeatable;
         options.maximumBodyBytes = maximumAnswerBytes;
         m_exchange = client.start(server, std::move(message), options, *this);
     }
--- /dev/null
+++ b/libs/control/tests/claim_ledger_test.cpp
@@ -0,0 +1,238 @@
+#include "control_fakes.h"
+
+#include <gtest/gtest.h>
+
+namespace pollen {
+
+namespace {
+
+constexpr duration patience = std::chrono::seconds(10);
+constexpr int64_t hourMs = 3600000;
+
+struct claim_answer {
+    claim_outcome outcome;
+    std::optional<recorded_answer> answer;
+};
+
+class ClaimLedgerTest : public testing::Test {
+protected:
+    void SetUp() override
+    {
+        m_a = std::make_unique<test_daemon>(m_loop, m_network, m_log, m_clock, "a", 1);
+        m_b = std::make_unique<test_daemon>(m_loop, m_network, m_log, m_clock, "b", 2);
+        for (test_daemon* daemon : { m_a.get(), m_b.get() })
+            daemon->claims.start();
+        meet();
+    }
+
+    // Lets each daemon hear the other.
+    void meet()
+    {
+        m_a->peers.replaceListed({ { instance_id("b"), failure_domain_name("y"), { "127.0.0.1", 2 } } });
+        m_b->peers.replaceListed({ { instance_id("a"), failure_domain_name("x"), { "127.0.0.1", 1 } } });
+        m_a->node.sendHeartbeats();
+        m_b->node.sendHeartbeats();
+        turn();
+    }
+
+    void turn(int milliseconds = 5)
+    {
+        m_loop.runUntil([] { return false; }, std::chrono::milliseconds(milliseconds));
+    }
+
+    void claim(test_daemon& daemon, const std::string& request, const std::string& key = "k",
+        const std::string& fingerprint = "f")
+    {
+        daemon.claims.claim(key, fingerprint, request_id(request),
+            [this, request](claim_outcome outcome, const recorded_answer* answer) {
+                EXPECT_FALSE(m_answers.contains(request)) << "answered twice";
+                m_answers[request] = { outcome, answer ? std::optional(*answer) : std::nullopt };
+            });
+    }
+
+    // The outcome of a claim once it is decided.
+    std::string outcome(const std::string& request)
+    {
+        m_loop.runUntil([&] { return m_answers.contains(request); }, std::chrono::milliseconds(100));
+        return m_answers.contains(request) ? toText(m_answers[request].outcome) : "waiting";
+    }
+
+    void passTime(test_daemon& daemon)
+    {
+        m_clock.advance(std::chrono::seconds(3));
+        daemon.claims.tick(m_clock.now());
+        turn();
+    }
+
+    event_loop m_loop;
+    manual_clock m_clock;
+    memory_record_log m_log { m_loop, m_clock, 1000 };
+    memory_network m_network { m_loop };
+    std::unique_ptr<test_daemon> m_a;
+    std::unique_ptr<test_daemon> m_b;
+    std::map<std::string, claim_answer> m_answers;
+};
+
+const recorded_answer created { 201, "text/plain", "order 7", true };
+
+} // namespace
+
+TEST_F(ClaimLedgerTest, OneOfTwoRacingDaemonsIsGranted)
+{
+    claim(*m_a, "ra");
+    claim(*m_b, "rb");
+    EXPECT_EQ(outcome("ra"), "granted");
+    EXPECT_EQ(outcome("rb"), "waiting");
+    m_a->claims.recordAnswer("k", request_id("ra"), created);
+    EXPECT_EQ(outcome("rb"), "answered");
+    EXPECT_EQ(*m_answers["rb"].answer, created);
+}
+
+TEST_F(ClaimLedgerTest, ARetryThroughAnotherDaemonGetsTheRecordedAnswer)
+{
+    claim(*m_a, "r1");
+    EXPECT_EQ(outcome("r1"), "granted");
+    m_a->claims.recordAnswer("k", request_id("r1"), created);
+    turn(50);
+    claim(*m_b, "r2");
+    EXPECT_EQ(outcome("r2"), "answered");
+    claim(*m_a, "r3", "k", "another call");
+    EXPECT_EQ(outcome("r3"), "key_reused");
+}
+
+TEST_F(ClaimLedgerTest, ARetryAfterItsDaemonDiedIsToldThatNobodyKnows)
+{
+    claim(*m_a, "r1");
+    EXPECT_EQ(outcome("r1"), "granted");
+    turn(30);
+    m_a.reset();
+    m_clock.advance(std::chrono::seconds(4));
+    claim(*m_b, "r2");
+    EXPECT_EQ(outcome("r2"), "owned_elsewhere");
+}
+
+TEST_F(ClaimLedgerTest, ARetryWaitsForALivingOwnerButNotForEver)
+{
+    claim(*m_a, "r1");
+    EXPECT_EQ(outcome("r1"), "granted");
+    claim(*m_b, "r2");
+    EXPECT_EQ(outcome("r2"), "waiting");
+    passTime(*m_b);
+    EXPECT_EQ(outcome("r2"), "owned_elsewhere");
+}
+
+TEST_F(ClaimLedgerTest, AReleasedCallMayBeRunByTheNext)
+{
+    claim(*m_a, "r1");
+    EXPECT_EQ(outcome("r1"), "granted");
+    m_a->claims.release("k", request_id("r1"));
+    turn(50);
+    claim(*m_b, "r2");
+    EXPECT_EQ(outcome("r2"), "granted");
+}
+
+TEST_F(ClaimLedgerTest, OnlyTheOwnerCanReleaseOrAnswer)
+{
+    claim(*m_a, "r1");
+    EXPECT_EQ(outcome("r1"), "granted");
+    m_b->claims.release("k", request_id("r2"));
+    m_b->claims.recordAnswer("k", request_id("r2"), created);
+    turn(50);
+    claim(*m_b, "r3");
+    passTime(*m_b);
+    EXPECT_EQ(outcome("r3"), "owned_elsewhere");
+}
+
+TEST_F(ClaimLedgerTest, WhateverTheLogDoesAtMostOneIsGranted)
+{
+    const std::vector<append_fault> faults { append_fault::None, append_fault::Refused, append_fault::AnswerLost,
+        append_fault::RequestLost };
+    int key = 0;
+    for (const append_fault faultA : faults) {
+        for (const append_fault faultB : faults) {
+            const std::string name = "key" + std::to_string(++key);
+            m_a->log.faults = { faultA };
+            m_b->log.faults = { faultB };
+            claim(*m_a, name + "a", name);
+            claim(*m_b, name + "b", name);
+            turn(60);
+            passTime(*m_a);
+            passTime(*m_b);
+            const int granted = (outcome(name + "a") == "granted" ? 1 : 0) + (outcome(name + "b") == "granted" ? 1 : 0);
+            EXPECT_LE(granted, 1);
+            const bool reached = faultA == append_fault::None || faultA == append_fault::AnswerLost;
+            EXPECT_EQ(outcome(name + "a") == "granted", reached);
+            EXPECT_NE(outcome(name + "b"), "waiting");
+            meet();
+        }
+    }
+}
+
+TEST_F(ClaimLedgerTest, AnOutageIsToldAtOnceAndHealsByItself)
+{
+    m_a->log.lasting = append_fault::Refused;
+    claim(*m_a, "r1");
+    EXPECT_EQ(outcome("r1"), "unavailable");
+    m_a->log.lasting = append_fault::None;
+    turn(50);
+    claim(*m_a, "r2");
+    EXPECT_EQ(outcome("r2"), "granted");
+}
+
+// The claim took effect, its answer was lost and reads failed until the request gave up: the key must not stay taken.
+TEST_F(ClaimLedgerTest, AClaimThatArrivesAfterItsRequestGaveUpIsReleased)
+{
+    m_a->claims.forget(request_id("nobody"));
+    m_a->log.readsFail = true;
+    // The read that waits at the end of the stream is answered by this record; the next one fails.
+    claim(*m_b, "r0", "other");
+    EXPECT_EQ(outcome("r0"), "granted");
+    turn(50);
+    m_a->log.faults = { append_fault::AnswerLost };
+    claim(*m_a, "r1");
+    turn(50);
+    passTime(*m_a);
+    EXPECT_EQ(outcome("r1"), "unavailable");
+    m_a->log.readsFail = false;
+    m_loop.runUntil([] { return false; }, std::chrono::milliseconds(1500));
+    claim(*m_b, "r2");
+    EXPECT_EQ(outcome("r2"), "granted");
+}
+
+TEST_F(ClaimLedgerTest, ACallerThatWentAwayLeavesNoClaimBehind)
+{
+    claim(*m_a, "r1");
+    m_a->claims.forget(request_id("r1"));
+    turn(60);
+    EXPECT_FALSE(m_answers.contains("r1"));
+    claim(*m_b, "r2");
+    EXPECT_EQ(outcome("r2"), "granted");
+}
+
+TEST_F(ClaimLedgerTest, AnAnswerTooLargeToKeepIsSaidToHaveRun)
+{
+    claim(*m_a, "r1");
+    EXPECT_EQ(outcome("r1"), "granted");
+    m_a->claims.recordAnswer("k", request_id("r1"), { 200, "text/plain", std::string(100000, 'x'), true });
+    turn(50);
+    claim(*m_b, "r2");
+    EXPECT_EQ(outcome("r2"), "answered");
+    EXPECT_FALSE(m_answers["r2"].answer->bodyKept);
+}
+
+TEST(ClaimFold, ForgetsKeysAfterTheirLifetimeByTheLogsClock)
+{
+    claim_fold fold(hourMs);
+    claim_record record;
+    record.key = "k";
+    record.request = request_id("r1");
+    fold.apply(record, 0);
+    record.request = request_id("r2");
+    fold.apply(record, hourMs - 1);
+    EXPECT_EQ(fold.find("k")->owner, request_id("r1"));
+    fold.apply(record, hourMs);
+    EXPECT_EQ(fold.find("k")->owner, request_id("r2"));
+    EXPECT_EQ(fold.size(), 1U);
+}
+
+} // namespace pollen
--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -52,6 +52,9 @@
     // Use a connection that has carried nothing before. Set for calls that must not be repeated: a connection kept
     // open may have been closed by the server in the moment before the request is written.
     bool freshConnection = false;
+    // The request may reach the server twice. It is then sent again on a fresh connection when a kept connection turns
+    // out to have been closed.
+    bool repeatable = false;
     size_t maximumBodyBytes = 64U << 20;
 };
 
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -70,6 +70,8 @@
 struct pooled_connection {
     evhttp_connection* handle = nullptr;
     size_t bytesSent = 0;
+    // It has carried an exchange before.
+    bool usedBefore = false;
     // The exchange that evhttp's callbacks are for; null when it has been given up.
     void* exchange = nullptr;
 };
@@ -108,6 +110,7 @@
     void put(const endpoint& server, pooled_connection* connection)
     {
         auto& idle = idleByEndpoint[server];
+        connection->usedBefore = true;
         if (closed || idle.size() >= maximumIdleConnections) {
             loop.post([connection] { destroy(connection); });
             return;
@@ -143,18 +146,14 @@
         exchange_listener& listener)
         : m_pool(std::move(pool))
         , m_server(server)
+        , m_request(std::move(request))
         , m_options(options)
         , m_listener(listener)
         , m_deadline(m_pool->loop, [this] { onTimer(); })
         , m_alive(std::make_shared<bool>(true))
     {
         m_connection = options.freshConnection ? m_pool->open(server) : m_pool->take(server);
-        m_connection->bytesSent = 0;
-        m_connection->exchange = this;
-        const auto wholeSeconds = std::chrono::duration_cast<std::chrono::seconds>(options.timeout).count();
-        const timeval idleLimit { static_cast<time_t>(wholeSeconds + 1), 0 };
-        evhttp_connection_set_timeout_tv(m_connection->handle, &idleLimit);
-        send(std::move(request));
+        send();
         m_deadline.startOnce(std::min(options.timeout, options.connectTimeout));
     }
 
@@ -184,8 +183,13 @@
         return static_cast<evhttp_exchange*>(static_cast<pooled_connection*>(connection)->exchange);
     }
 
-    void send(http_request request)
+    void send()
     {
+        m_connection->bytesSent = 0;
+        m_connection->exchange = this;
+        const auto wholeSeconds = std::chrono::duration_cast<std::chrono::seconds>(m_options.timeout).count();
+        const timeval idleLimit { static_cast<time_t>(wholeSeconds + 1), 0 };
+        evhttp_connection_set_timeout_tv(m_connection->handle, &idleLimit);
         const auto done = [](evhttp_request* message, void* connection) {
             if (evhttp_exchange* self = current(connection))
                 self->onDone(message);
@@ -205,13 +209,13 @@
                 self->m_failure = toFailure(kind);
         });
         evkeyvalq* headers = evhttp_request_get_output_headers(message);
-        for (const auto& [name, value] : request.headers)
+        for (const auto& [name, value] : m_request.headers)
             evhttp_add_header(headers, name.c_str(), value.c_str());
         evhttp_add_header(headers, "Host", m_server.text().c_str());
-        if (!request.body.empty())
-            evbuffer_add(evhttp_request_get_output_buffer(message), request.body.data(), request.body.size());
-        const evhttp_cmd_type command = toCommand(request.method);
-        if (evhttp_make_request(m_connection->handle, message, command, request.target.c_str()) == 0)
+        if (!m_request.body.empty())
+            evbuffer_add(evhttp_request_get_output_buffer(message), m_request.body.data(), m_request.body.size());
+        const evhttp_cmd_type command = toCommand(m_request.method);
+        if (evhttp_make_request(m_connection->handle, message, command, m_request.target.c_str()) == 0)
             return;
         finishLater(exchange_failure::ConnectFailed);
     }
@@ -238,6 +242,7 @@
         if (status < firstFinalStatus)
             return;
         m_responseStarted = true;
+        m_request = {};
         m_listener.onHead(status, copyHeaders(*evhttp_request_get_input_headers(message)));
     }
 
@@ -262,7 +267,10 @@
             const bool sent = m_connection->bytesSent > 0;
             if (m_failure == exchange_failure::None || !sent)
                 m_failure = sent ? exchange_failure::ConnectionLost : exchange_failure::ConnectFailed;
-            finish(m_failure, closing::Later);
+            if (m_failure == exchange_failure::ConnectionLost && maySendAgain())
+                sendAgain();
+            else
+                finish(m_failure, closing::Later);
             return;
         }
         const char* connectionHeader = evhttp_find_header(evhttp_request_get_input_headers(message), "Connection");
@@ -276,6 +284,20 @@
         finish(exchange_failure::None, keep ? closing::Keep : closing::Later);
     }
 
+    bool maySendAgain() const
+    {
+        return m_options.repeatable && m_connection->usedBefore && !m_responseStarted && !m_options.freshConnection;
+    }
+
+    void sendAgain()
+    {
+        abandon(false);
+        m_finished = false;
+        m_failure = exchange_failure::None;
+        m_connection = m_pool->open(m_server);
+        send();
+    }
+
     void finishLater(exchange_failure failure)
     {
         m_pool->loop.post([this, failure, alive = m_alive] {
@@ -319,6 +341,7 @@
 
     std::shared_ptr<pool> m_pool;
     endpoint m_server;
+    http_request m_request;
     exchange_options m_options;
     exchange_listener& m_listener;
     timer m_deadline;
--- a/libs/platform/src/http_instance_directory.cpp
+++ b/libs/platform/src/http_instance_directory.cpp
@@ -55,6 +55,7 @@
 {
     exchange_options options;
     options.timeout = answerTimeout;
+    options.repeatable = true;
     const auto onFetched
         = [callback = std::move(callback)](const exchange_result& result, const http_response& response) {
               if (!result.ok() || response.status != statusOk) {
--- a/libs/platform/src/http_record_log.cpp
+++ b/libs/platform/src/http_record_log.cpp
@@ -9,12 +9,15 @@
 constexpr duration answerTimeout = std::chrono::seconds(2);
 constexpr int statusOk = 200;
 constexpr int statusTooManyRequests = 429;
+// What the log says about an append that it refuses without effect.
+constexpr std::string_view runHeader = "X-Run";
+constexpr std::string_view notRun = "not_run";
 
 append_result toAppendResult(const exchange_result& result, const http_response& response)
 {
     if (!result.ok())
         return { result.requestSent ? append_outcome::Unknown : append_outcome::NotAppended, 0 };
-    if (response.status == statusTooManyRequests)
+    if (response.status == statusTooManyRequests || findHeader(response.headers, runHeader) == notRun)
         return { append_outcome::NotAppended, 0 };
     if (response.status != statusOk)
         return { append_outcome::Unknown, 0 };
@@ -56,6 +59,8 @@
         -1, ' ', false, nlohmann::json::error_handler_t::replace);
     exchange_options options;
     options.timeout = answerTimeout;
+    // Every stream counts a record that appears twice once.
+    options.repeatable = true;
     m_client.fetch(m_server, std::move(request), options,
         [callback = std::move(callback)](const exchange_result& result, const http_response& response) {
             callback(toAppendResult(result, response));
@@ -69,6 +74,7 @@
         = "/streams/" + stream + "?from=" + std::to_string(from) + "&wait_ms=" + std::to_string(toMilliseconds(wait));
     exchange_options options;
     options.timeout = wait + answerTimeout;
+    options.repeatable = true;
     m_client.fetch(m_server, std::move(request), options,
         [callback = std::move(callback)](const exchange_result& result, const http_response& response) {
             callback(toReadResult(result, response));
--- a/standins/include/standins/service_standin.h
+++ b/standins/include/standins/service_standin.h
@@ -6,7 +6,7 @@
 namespace pollen {
 
 // A plain service that remembers every call it ran, so that double runs are seen. Settings: delay_ms, lose_answers
-// (coming calls that run and whose connection is closed without an answer), refuse (coming calls answered 503 with
+// (coming POST calls that run and whose connection is closed without an answer), refuse (coming calls answered 503 with
 // X-Run: not_run), cross (coming answers that carry the id of another request).
 class service_standin final : public standin {
 public:
--- a/standins/src/log_standin.cpp
+++ b/standins/src/log_standin.cpp
@@ -41,7 +41,7 @@
     const http_request& message = request->request();
     const std::string path(targetPath(message.target));
     if (m_outage != 0 || !path.starts_with(streamPrefix)) {
-        replyJson(*request, m_outage != 0 ? 503 : 404, { { "error", "unavailable" } });
+        replyJson(*request, m_outage != 0 ? 503 : 404, { { "error", "unavailable" } }, { { "X-Run", "not_run" } });
         return;
     }
     expire();
