Test the gateway over fakes of its engine, service and log

Cause: what callers see under faults was judged only by the demo. Change: contract tests for chat completions and service calls: 29 bad requests, every failure of a backend server, hang- ups, sessions, limits, changes of configuration between two attempts. Conclusion: every refusal in the tables says not_run only when no attempt can have run.

--- a/libs/gateway/src/chat_exchange.cpp
+++ b/libs/gateway/src/chat_exchange.cpp
@@ -172,10 +172,10 @@
 void chat_exchange::onBytes(std::string_view bytes)
 {
     const time_point now = m_dependencies.time.now();
-    if (m_lastBytes == time_point {})
+    if (!m_lastBytes)
         m_measures->firstToken.Observe(toSeconds(now - m_start));
     else
-        m_measures->betweenTokens.Observe(toSeconds(now - m_lastBytes));
+        m_measures->betweenTokens.Observe(toSeconds(now - *m_lastBytes));
     m_lastBytes = now;
     m_partsSeen += static_cast<uint64_t>(std::count(bytes.begin(), bytes.end(), '\n')) / 2;
     m_pending += bytes;
--- a/libs/gateway/src/chat_exchange.h
+++ b/libs/gateway/src/chat_exchange.h
@@ -62,7 +62,7 @@
     bool m_streamStarted = false;
     bool m_paused = false;
     uint64_t m_partsSeen = 0;
-    time_point m_lastBytes {};
+    std::optional<time_point> m_lastBytes;
 };
 
 } // namespace pollen
--- /dev/null
+++ b/libs/gateway/tests/chat_test.cpp
@@ -0,0 +1,303 @@
+#include "gateway_fakes.h"
+
+#include <gateway/session_token.h>
+
+namespace pollen {
+
+namespace {
+
+    const std::string answerBody = R"({"choices":[]})";
+    const std::string event = "data: {}\n\n";
+
+} // namespace
+
+TEST_F(GatewayTest, AnswersAndBillsOnce)
+{
+    const auto request = send(chat());
+    ASSERT_EQ(m_engine.calls.size(), 1U);
+    EXPECT_EQ(engineCall(0).request.version.text(), "small/v1");
+    EXPECT_EQ(engineCall(0).request.priority, 3);
+    answerEngine(0, answerBody);
+    EXPECT_EQ(request->status, 200);
+    EXPECT_EQ(request->body, answerBody);
+    EXPECT_EQ(request->header("X-Pollen-Version"), "v1");
+    EXPECT_EQ(request->header("X-Pollen-Run"), "ran");
+    const auto all = bills();
+    ASSERT_EQ(all.size(), 1U);
+    EXPECT_EQ(all[0].id, request->header("X-Request-Id"));
+    EXPECT_DOUBLE_EQ(all[0].cost, (3 * 1 + 10 * 2) / 1000.0);
+    EXPECT_EQ(m_gateway.openRequests(), 0U);
+    EXPECT_EQ(m_tables.servers().row({ 0 }).ownRequests + m_tables.servers().row({ 1 }).ownRequests, 0U);
+}
+
+TEST_F(GatewayTest, RelaysAStreamAndClosesItAfterTheBill)
+{
+    const auto request = send(chat(R"(,"stream":true)"));
+    EXPECT_EQ(request->status, 0) << "nothing is promised before the engine answers";
+    engineCall(0).listener->onBytes(event);
+    turn();
+    EXPECT_EQ(request->body, event);
+    EXPECT_EQ(request->header("Content-Type"), "text/event-stream");
+    answerEngine(0, event);
+    EXPECT_EQ(request->body, event + event + "data: [DONE]\n\n");
+    EXPECT_TRUE(request->ended);
+    EXPECT_EQ(bills().size(), 1U);
+}
+
+TEST_F(GatewayTest, BadRequestsGetATypedRefusalThatIsTrue)
+{
+    const auto with = [](http_request request, const char* name, const std::string& value) {
+        request.headers.insert(request.headers.begin(), { name, value });
+        return request;
+    };
+    const auto body = [](const std::string& text) {
+        http_request request = chat();
+        request.body = text;
+        return request;
+    };
+    const std::string deep = R"({"model":"auto","messages":[{"role":"user","x":)" + std::string(50000, '[');
+    const std::string token = encodeSession({ "s", team_name("sales"), parseVersionRef("small/v1") }, "another secret..");
+    const std::string foreign = encodeSession({ "s", team_name("x"), parseVersionRef("small/v1") }, "0123456789abcdef");
+    struct row {
+        http_request request;
+        int status;
+        const char* error;
+    };
+    const std::vector<row> rows {
+        { { "GET", "/nowhere", {}, "" }, 404, "unknown_route not_run" },
+        { { "GET", "/v1/chat/completions", {}, "" }, 404, "unknown_route not_run" },
+        { { "POST", "/v1/chat/completions", {}, "{}" }, 401, "missing_key not_run" },
+        { with(chat(), "Authorization", "Basic key"), 401, "missing_key not_run" },
+        { with(chat(), "Authorization", "Bearer wrong"), 401, "wrong_key not_run" },
+        { with(chat(), "Authorization", "Bearer other"), 403, "not_allowed not_run" },
+        { with(chat(), "X-Pollen-Class", "none"), 400, "unknown_class not_run" },
+        { with(chat(), "X-Pollen-Deadline-Ms", "soon"), 400, "invalid_deadline not_run" },
+        { with(chat(), "X-Pollen-Deadline-Ms", "0"), 400, "invalid_deadline not_run" },
+        { with(chat(), "X-Pollen-Deadline-Ms", "-5"), 400, "invalid_deadline not_run" },
+        { with(chat(), "X-Pollen-Deadline-Ms", "1"), 503, "deadline_unreachable not_run" },
+        { with(chat(), "X-Pollen-Session", "forged"), 400, "invalid_session not_run" },
+        { with(chat(), "X-Pollen-Session", token), 400, "invalid_session not_run" },
+        { with(chat(), "X-Pollen-Session", foreign), 400, "invalid_session not_run" },
+        { with(chat(), "Idempotency-Key", std::string(201, 'x')), 400, "invalid_idempotency_key not_run" },
+        { body(""), 400, "malformed_request not_run" },
+        { body("{"), 400, "malformed_request not_run" },
+        { body("[]"), 400, "malformed_request not_run" },
+        { body("\xff"), 400, "malformed_request not_run" },
+        { body(deep), 400, "malformed_request not_run" },
+        { body(R"({"model":"auto"})"), 400, "malformed_request not_run" },
+        { body(R"({"model":"auto","messages":[]})"), 400, "malformed_request not_run" },
+        { body(R"({"model":"auto","messages":[7]})"), 400, "malformed_request not_run" },
+        { body(R"({"model":7,"messages":[{"role":"user"}]})"), 400, "malformed_request not_run" },
+        { body(R"({"model":"auto","messages":[{"role":"user"}],"stream":"yes"})"), 400, "malformed_request not_run" },
+        { body(R"({"model":"auto","messages":[{"role":"user"}],"max_tokens":-1})"), 400, "malformed_request not_run" },
+        { body(R"({"model":"auto","messages":[{"role":"user"}],"max_tokens":0})"), 400, "malformed_request not_run" },
+        { body(R"({"model":"huge","messages":[{"role":"user"}]})"), 404, "unknown_model not_run" },
+        { body(R"({"model":"small/v9","messages":[{"role":"user"}]})"), 404, "unknown_model not_run" },
+    };
+    for (const row& row : rows) {
+        const auto request = send(row.request);
+        EXPECT_EQ(request->status, row.status) << row.error;
+        EXPECT_EQ(request->error(), row.error);
+        EXPECT_FALSE(request->header("X-Request-Id").empty());
+    }
+    EXPECT_TRUE(m_engine.calls.empty());
+    EXPECT_TRUE(bills().empty());
+    EXPECT_EQ(m_gateway.openRequests(), 0U);
+}
+
+TEST_F(GatewayTest, TriesAnotherServerWhileTheCallerHasSeenNothing)
+{
+    const auto request = send(chat());
+    failEngine(0, backend_failure::CrossedAnswer);
+    ASSERT_EQ(m_engine.calls.size(), 2U);
+    EXPECT_NE(engineCall(0).server, engineCall(1).server);
+    EXPECT_FALSE(engineCall(0).alive);
+    answerEngine(1, answerBody);
+    EXPECT_EQ(request->body, answerBody);
+    EXPECT_EQ(bills().size(), 1U);
+}
+
+TEST_F(GatewayTest, SaysNotRunOnlyWhenNoAttemptCanHaveRun)
+{
+    using failures = std::vector<backend_failure>;
+    struct row {
+        failures attempts;
+        const char* error;
+    };
+    const auto busy = backend_failure::Busy;
+    const auto lost = backend_failure::ConnectionLost;
+    for (const row& row : { row { { busy, busy, busy }, "no_server_available not_run" },
+             row { { lost, busy, busy }, "no_server_available unknown" },
+             row { { busy, busy, lost }, "backend_failed unknown" },
+             row { { backend_failure::TimedOut, busy, backend_failure::TimedOut }, "backend_timed_out unknown" },
+             row { { backend_failure::Rejected }, "backend_rejected not_run" },
+             row { { lost, backend_failure::Rejected }, "backend_rejected unknown" } }) {
+        m_engine.calls.clear();
+        m_clock.advance(std::chrono::seconds(60));
+        const auto request = send(chat());
+        for (size_t i = 0; i < row.attempts.size(); ++i)
+            failEngine(i, row.attempts[i]);
+        EXPECT_EQ(m_engine.calls.size(), row.attempts.size());
+        EXPECT_EQ(request->error(), row.error);
+    }
+    EXPECT_TRUE(bills().empty());
+}
+
+TEST_F(GatewayTest, AStreamThatBreaksEndsWithAnErrorAndWithoutItsClosingEvent)
+{
+    const auto request = send(chat(R"(,"stream":true)"));
+    engineCall(0).listener->onBytes(event);
+    turn();
+    failEngine(0, backend_failure::ConnectionLost);
+    EXPECT_EQ(m_engine.calls.size(), 1U) << "the caller has seen part of the first answer";
+    EXPECT_NE(request->body.find("event: error"), std::string::npos);
+    EXPECT_EQ(request->body.find("[DONE]"), std::string::npos);
+    EXPECT_TRUE(request->ended);
+    EXPECT_EQ(bills().size(), 1U) << "for the part that was generated";
+}
+
+TEST_F(GatewayTest, ACallerThatHangsUpCancelsTheWork)
+{
+    const auto request = send(chat(R"(,"stream":true)"));
+    engineCall(0).listener->onBytes(event + event);
+    turn();
+    request->hangUp();
+    turn();
+    EXPECT_FALSE(engineCall(0).alive);
+    EXPECT_EQ(m_gateway.openRequests(), 0U);
+    const auto all = bills();
+    ASSERT_EQ(all.size(), 1U);
+    EXPECT_EQ(all[0].outputTokens, 2U);
+}
+
+TEST_F(GatewayTest, HoldsTheEngineBackForASlowReader)
+{
+    const auto request = send(chat(R"(,"stream":true)"));
+    request->unsent = m_settings.limits.streamBufferBytes;
+    engineCall(0).listener->onBytes(event);
+    turn();
+    EXPECT_TRUE(engineCall(0).paused);
+    request->unsent = 0;
+    request->whenSent();
+    EXPECT_FALSE(engineCall(0).paused);
+}
+
+TEST_F(GatewayTest, ASessionKeepsItsVersionUntilItIsWithdrawn)
+{
+    auto request = send(chat(R"(,"model":"small/v2")", { { "X-Pollen-Session", "new" } }));
+    answerEngine(0, answerBody);
+    const http_headers session { { "X-Pollen-Session", request->header("X-Pollen-Session") } };
+    request = send(chat("", session));
+    EXPECT_EQ(engineCall(1).request.version.text(), "small/v2") << "though v1 is cheaper";
+    answerEngine(1, answerBody);
+    EXPECT_TRUE(request->header("X-Pollen-Session-Changed").empty());
+    EXPECT_EQ(send(chat(R"(,"model":"small/v1")", session))->error(), "session_conflict not_run");
+    install({ "name = \"v2\"", "name = \"v2\"\nstate = \"withdrawn\"" });
+    request = send(chat("", session));
+    EXPECT_EQ(engineCall(2).request.version.text(), "small/v1");
+    answerEngine(2, answerBody);
+    EXPECT_FALSE(request->header("X-Pollen-Session-Changed").empty());
+}
+
+TEST_F(GatewayTest, AWithdrawalBetweenTwoAttemptsCounts)
+{
+    const auto request = send(chat());
+    install({ "name = \"v1\"", "name = \"v1\"\nstate = \"withdrawn\"" });
+    failEngine(0, backend_failure::Busy);
+    ASSERT_EQ(m_engine.calls.size(), 2U);
+    EXPECT_EQ(engineCall(1).request.version.text(), "small/v2");
+    answerEngine(1, answerBody);
+    EXPECT_EQ(request->header("X-Pollen-Version"), "v2");
+}
+
+TEST_F(GatewayTest, ATeamThatLeavesTheConfigurationGetsNoFurtherAttempt)
+{
+    const auto request = send(chat());
+    install({ "name = \"sales\"", "name = \"gone\"" });
+    failEngine(0, backend_failure::Busy);
+    EXPECT_EQ(m_engine.calls.size(), 1U);
+    EXPECT_EQ(request->error(), "not_allowed not_run");
+}
+
+TEST_F(GatewayTest, ATeamHasItsLimit)
+{
+    send(chat());
+    send(chat());
+    const auto request = send(chat());
+    EXPECT_EQ(request->error(), "too_many_requests not_run");
+    EXPECT_EQ(request->header("Retry-After"), "1");
+    answerEngine(0, answerBody);
+    EXPECT_EQ(send(chat())->status, 0) << "running";
+}
+
+TEST_F(GatewayTest, ARequestSentAgainUnderOneKeyIsBilledUnderOneId)
+{
+    for (size_t i = 0; i < 2; ++i) {
+        send(chat("", { { "Idempotency-Key", "k" } }));
+        answerEngine(i, answerBody);
+    }
+    const auto all = bills();
+    ASSERT_FALSE(all.empty());
+    EXPECT_EQ(all.front().id, all.back().id);
+}
+
+TEST_F(GatewayTest, ExplainsItsDecision)
+{
+    const auto request = send(chat());
+    answerEngine(0, answerBody);
+    const auto text = m_journal.explain(request_id(request->header("X-Request-Id")));
+    ASSERT_TRUE(text);
+    const auto json = nlohmann::json::parse(*text);
+    const auto& decision = json["steps"][0]["decision"];
+    EXPECT_EQ(decision["version"], "small/v1");
+    EXPECT_EQ(decision["candidates"][1]["excluded"], "costs_more");
+    EXPECT_FALSE(m_journal.explain(request_id("unknown")));
+}
+
+TEST_F(GatewayTest, ListsTheModelsOfTheTeam)
+{
+    const auto request = send({ "GET", "/v1/models", { { "Authorization", "Bearer key" } }, "" });
+    const auto json = nlohmann::json::parse(request->body);
+    ASSERT_EQ(json["data"].size(), 2U);
+    EXPECT_EQ(json["data"][0]["id"], "small/v1");
+    const auto other = send({ "GET", "/v1/models", { { "Authorization", "Bearer other" } }, "" });
+    EXPECT_TRUE(nlohmann::json::parse(other->body)["data"].empty());
+}
+
+TEST_F(GatewayTest, IsReadyUntilItDrains)
+{
+    EXPECT_EQ(send({ "GET", "/readyz", {}, "" })->status, 200);
+    m_gateway.setDraining();
+    EXPECT_EQ(send({ "GET", "/readyz", {}, "" })->status, 503);
+    EXPECT_EQ(send({ "GET", "/healthz", {}, "" })->status, 200);
+    send(chat());
+    EXPECT_EQ(m_engine.calls.size(), 1U) << "what still arrives is served";
+}
+
+TEST_F(GatewayTest, MeasuresEachTeamAndClass)
+{
+    send(chat(R"(,"stream":true)"));
+    engineCall(0).listener->onBytes(event);
+    answerEngine(0, event);
+    const std::string text = m_metrics.render();
+    for (const char* line : { "pollen_first_token_seconds_count{class=\"quick\",team=\"sales\"} 1",
+             "pollen_between_tokens_seconds_count{class=\"quick\",team=\"sales\"} 1",
+             "pollen_request_seconds_count{class=\"quick\",team=\"sales\"} 1",
+             "pollen_output_tokens_total{class=\"quick\",team=\"sales\"} 10" })
+        EXPECT_NE(text.find(line), std::string::npos) << line;
+}
+
+TEST(SessionToken, ReadsOnlyWhatWasSigned)
+{
+    const session original { "s1", team_name("t"), parseVersionRef("m/v1") };
+    const std::string token = encodeSession(original, "secret");
+    EXPECT_EQ(decodeSession(token, "secret"), original);
+    for (size_t i = 0; i < token.size(); ++i) {
+        std::string changed = token;
+        changed[i] = changed[i] == '0' ? '1' : '0';
+        EXPECT_FALSE(decodeSession(changed, "secret")) << i;
+        EXPECT_FALSE(decodeSession(token.substr(0, i), "secret")) << i;
+    }
+}
+
+} // namespace pollen
