Measure one daemon against a direct connection

Cause: nothing was known of the router's own cost, and a burst of 2,000 callers overflowed evhttp's listen queue of 128. Change: ./build.sh bench with a load tool; the listen queue holds 4,096; requests that fail together take a server out once, not for eight times as long; the body of a chat completion is parsed once, usage is read without building the document, bills are encoded when they are taken. Socket addresses are converted in one place.

--- a/build.sh
+++ b/build.sh
@@ -12,6 +12,7 @@
   build    install missing packages, configure and build (default)
   test     build, then run every test
   demo     build, then run both example deployments under changes and failures
+  bench    build, then measure one daemon against a direct connection
   run      build, then run one daemon before one engine, from examples/single
   format   format every source file
   lint     check formatting and run the linter
@@ -64,6 +65,7 @@
     build) build ;;
     test) build; ctest --test-dir "$build_dir" --output-on-failure -j "$(nproc)" ;;
     demo) build; demo/run.sh "$build_dir" ;;
+    bench) build; bench/run.sh "$build_dir" ;;
     run) build; run_single ;;
     format) sources | xargs clang-format -i ;;
     lint) lint ;;
--- a/libs/backend/include/backend/model_engine.h
+++ b/libs/backend/include/backend/model_engine.h
@@ -5,6 +5,7 @@
 #include <base/typed_id.h>
 #include <functional>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,8 +17,8 @@
 struct engine_request {
     request_id id;
     version_ref version;
-    // Body of the chat completion as the caller sent it; the adapter sets the model in it.
-    std::string body;
+    // The chat completion as the caller sent it, parsed and checked; the adapter sets the model in it.
+    std::shared_ptr<const nlohmann::json> body;
     bool streaming = false;
     // 0 goes first.
     int64_t priority = 0;
--- a/libs/backend/src/event_stream_reader.cpp
+++ b/libs/backend/src/event_stream_reader.cpp
@@ -11,21 +11,78 @@
 constexpr std::string_view usageKey = "\"usage\":{";
 constexpr size_t maximumLineBytes = 1U << 20;
 
+// Picks the usage out of a document without building the rest of it.
+class usage_reader final : public nlohmann::json_sax<nlohmann::json> {
+public:
+    std::optional<token_usage> usage() const
+    {
+        if (!m_promptTokens || !m_outputTokens)
+            return std::nullopt;
+        return token_usage { *m_promptTokens, *m_outputTokens };
+    }
+
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(number_integer_t) override { return true; }
+    bool number_unsigned(number_unsigned_t value) override
+    {
+        if (!m_inUsage || m_depth != usageDepth)
+            return true;
+        if (m_key == "prompt_tokens")
+            m_promptTokens = value;
+        if (m_key == "completion_tokens")
+            m_outputTokens = value;
+        return true;
+    }
+    bool number_float(number_float_t, const string_t&) override { return true; }
+    bool string(string_t&) override { return true; }
+    bool binary(binary_t&) override { return true; }
+    bool start_object(std::size_t) override
+    {
+        ++m_depth;
+        m_inUsage = m_inUsage || (m_depth == usageDepth && m_key == "usage");
+        return true;
+    }
+    bool key(string_t& name) override
+    {
+        m_key = name;
+        return true;
+    }
+    bool end_object() override { return leave(); }
+    bool start_array(std::size_t) override
+    {
+        ++m_depth;
+        return true;
+    }
+    bool end_array() override { return leave(); }
+    bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override { return false; }
+
+private:
+    // Depth of the members of an object that is itself a member of the document.
+    static constexpr int usageDepth = 2;
+
+    bool leave()
+    {
+        m_inUsage = m_inUsage && m_depth != usageDepth;
+        --m_depth;
+        return true;
+    }
+
+    int m_depth = 0;
+    bool m_inUsage = false;
+    std::string m_key;
+    std::optional<uint64_t> m_promptTokens;
+    std::optional<uint64_t> m_outputTokens;
+};
+
 } // namespace
 
 std::optional<token_usage> parseUsage(std::string_view json)
 {
-    const auto document = nlohmann::json::parse(json, nullptr, false);
-    if (!document.is_object() || !document.contains("usage") || !document["usage"].is_object())
-        return std::nullopt;
-    const auto& usage = document["usage"];
-    const auto prompt = usage.find("prompt_tokens");
-    const auto output = usage.find("completion_tokens");
-    if (prompt == usage.end() || output == usage.end())
-        return std::nullopt;
-    if (!prompt->is_number_unsigned() || !output->is_number_unsigned())
+    usage_reader reader;
+    if (!nlohmann::json::sax_parse(json, &reader))
         return std::nullopt;
-    return token_usage { prompt->get<uint64_t>(), output->get<uint64_t>() };
+    return reader.usage();
 }
 
 std::string_view event_stream_reader::read(std::string_view bytes)
--- a/libs/backend/src/http_model_engine.cpp
+++ b/libs/backend/src/http_model_engine.cpp
@@ -19,7 +19,7 @@
 // Sets the model to the version chosen and asks for the usage in the last event of a stream.
 std::string engineBody(const engine_request& request)
 {
-    auto json = nlohmann::json::parse(request.body);
+    nlohmann::json json = *request.body;
     json["model"] = request.version.text();
     if (request.streaming)
         json["stream_options"] = { { "include_usage", true } };
--- a/libs/control/include/control/bill_ledger.h
+++ b/libs/control/include/control/bill_ledger.h
@@ -50,9 +50,10 @@
 private:
     struct outgoing_bill {
         bill content;
+        // As it goes into the log; encoded when it is taken, so that no turn of the loop encodes many.
+        std::string encoded;
         // Peer that was asked to hold the bill; empty when there was none.
         instance_id holder;
-        bool appending = false;
     };
     struct awaited_copy {
         std::function<void()> whenSafe;
--- a/libs/control/src/bill_ledger.cpp
+++ b/libs/control/src/bill_ledger.cpp
@@ -66,7 +66,7 @@
 
 void bill_ledger::record(const bill& bill, std::function<void()> whenSafe)
 {
-    m_outbox.emplace(bill.id, outgoing_bill { bill, {}, false });
+    m_outbox.emplace(bill.id, outgoing_bill { bill, encodeBill(bill), {} });
     awaited_copy awaited { std::move(whenSafe), {}, 0 };
     askHolder(bill.id, awaited);
     if (!awaited.whenSafe)
@@ -158,7 +158,8 @@
         }
         m_logger.write(log_level::Warning, "bill_adopted",
             { { "bill", entry->first }, { "origin", entry->second.origin.text() } });
-        m_outbox.emplace(entry->first, outgoing_bill { entry->second.content, {}, false });
+        const bill& content = entry->second.content;
+        m_outbox.emplace(entry->first, outgoing_bill { content, encodeBill(content), {} });
         entry = m_held.erase(entry);
     }
 }
@@ -168,11 +169,11 @@
     m_nextFlush = m_clock.now() + flushInterval;
     std::vector<std::string> ids;
     std::vector<std::string> records;
-    for (auto& [id, outgoing] : m_outbox) {
+    for (const auto& [id, outgoing] : m_outbox) {
         if (ids.size() == maximumBatch)
             break;
         ids.push_back(id);
-        records.push_back(encodeBill(outgoing.content));
+        records.push_back(outgoing.encoded);
     }
     if (ids.empty())
         return;
--- a/libs/fleet/include/fleet/server_table.h
+++ b/libs/fleet/include/fleet/server_table.h
@@ -53,7 +53,8 @@
     void removeRequest(server_handle server);
     void reportLoad(server_handle server, uint32_t allRequests, bool leaving);
     void reportSuccess(server_handle server) { m_rows[server.index].consecutiveFailures = 0; }
-    // Takes the server out of choice for a time that doubles with each failure in a row.
+    // Takes the server out of choice for a time that doubles with each failure in a row. Failures while it is out count
+    // with the one that took it out.
     void reportFailure(server_handle server, time_point now);
 
 private:
--- a/libs/fleet/src/server_table.cpp
+++ b/libs/fleet/src/server_table.cpp
@@ -71,6 +71,9 @@
 void server_table::reportFailure(server_handle server, time_point now)
 {
     server_row& row = m_rows[server.index];
+    // Requests that were running when the first one failed tell nothing new.
+    if (now < row.unavailableUntil)
+        return;
     const uint32_t doublings = std::min(row.consecutiveFailures, maximumDoublings);
     ++row.consecutiveFailures;
     row.unavailableUntil = now + std::min(longestBackoff, firstBackoff * (1 << doublings));
--- a/libs/gateway/include/gateway/chat_request.h
+++ b/libs/gateway/include/gateway/chat_request.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <base/typed_id.h>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 
 namespace pollen {
@@ -14,6 +16,8 @@
     uint32_t promptTokens = 0;
     // The caller's limit, or a default.
     uint32_t outputTokens = 0;
+    // The whole body, parsed.
+    std::shared_ptr<const nlohmann::json> body {};
 
     friend bool operator==(const chat_request&, const chat_request&) = default;
 };
--- a/libs/gateway/include/gateway/gateway_metrics.h
+++ b/libs/gateway/include/gateway/gateway_metrics.h
@@ -20,6 +20,8 @@
     prometheus::Histogram& betweenTokens;
     prometheus::Counter& outputTokens;
     prometheus::Counter& cost;
+    // Requests answered in full.
+    prometheus::Counter& answered;
 };
 
 // All metrics of the daemon. Histograms for each team and class, in seconds.
@@ -52,6 +54,7 @@
     prometheus::Family<prometheus::Counter>& m_retries;
     prometheus::Family<prometheus::Counter>& m_routed;
     std::map<team_class, std::unique_ptr<team_class_metrics>> m_byTeamClass;
+    std::map<std::string, prometheus::Counter*> m_byTarget;
 };
 
 } // namespace pollen
--- a/libs/gateway/src/caller_exchange.cpp
+++ b/libs/gateway/src/caller_exchange.cpp
@@ -70,7 +70,10 @@
 {
     if (ended())
         return;
-    m_dependencies.metrics.countRequest(m_team, m_class, outcome);
+    if (outcome == outcomeOk)
+        m_dependencies.metrics.of(m_team, m_class).answered.Increment();
+    else
+        m_dependencies.metrics.countRequest(m_team, m_class, outcome);
     m_dependencies.log.write(log_level::Info, "request",
         { { "request", m_id.text() }, { "team", m_team.text() }, { "class", m_class.text() }, { "target", m_target },
             { "server", m_server.text() }, { "outcome", outcome },
--- a/libs/gateway/src/caller_exchange.h
+++ b/libs/gateway/src/caller_exchange.h
@@ -8,6 +8,9 @@
 
 namespace pollen {
 
+// Outcome of a request that was answered in full.
+constexpr const char* outcomeOk = "ok";
+
 // One request of a caller from its arrival to its end: what chat completions and service calls have in common.
 class caller_exchange : public std::enable_shared_from_this<caller_exchange> {
 public:
--- a/libs/gateway/src/chat_exchange.cpp
+++ b/libs/gateway/src/chat_exchange.cpp
@@ -156,7 +156,7 @@
     engine_request request;
     request.id = m_id;
     request.version = m_version;
-    request.body = m_request->request().body;
+    request.body = m_chat.body;
     request.streaming = m_chat.streaming;
     request.priority = tables.document()->findClass(m_class)->priority;
     request.timeout = m_deadline - m_dependencies.time.now();
@@ -248,7 +248,7 @@
         m_request->reply(200, headersOfAnswer(json), m_pending);
     }
     note("answered", m_target);
-    end("ok");
+    end(outcomeOk);
 }
 
 void chat_exchange::onFailed(backend_failure failure, const std::string& detail)
--- a/libs/gateway/src/chat_request.cpp
+++ b/libs/gateway/src/chat_request.cpp
@@ -76,7 +76,8 @@
 
 chat_request parseChatRequest(const std::string& body)
 {
-    const nlohmann::json json = parseBounded(body);
+    const auto document = std::make_shared<const nlohmann::json>(parseBounded(body));
+    const nlohmann::json& json = *document;
     if (!json.is_object())
         malformed("the body must be a JSON object");
     const auto messages = json.find("messages");
@@ -93,6 +94,7 @@
     request.streaming = json.value("stream", false);
     request.promptTokens = countPromptTokens(*messages);
     request.outputTokens = readOutputTokens(json);
+    request.body = document;
     return request;
 }
 
--- a/libs/gateway/src/gateway_metrics.cpp
+++ b/libs/gateway/src/gateway_metrics.cpp
@@ -24,6 +24,12 @@
     return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
 }
 
+prometheus::Labels withOutcome(prometheus::Labels labels, const std::string& outcome)
+{
+    labels["outcome"] = outcome;
+    return labels;
+}
+
 } // namespace
 
 gateway_metrics::gateway_metrics()
@@ -43,21 +49,28 @@
     auto& entry = m_byTeamClass[{ team, requestClass }];
     if (!entry) {
         const prometheus::Labels labels { { "team", team.text() }, { "class", requestClass.text() } };
-        entry.reset(
-            new team_class_metrics { m_latency.Add(labels, latencySeconds), m_firstToken.Add(labels, latencySeconds),
-                m_betweenTokens.Add(labels, tokenSeconds), m_outputTokens.Add(labels), m_cost.Add(labels) });
+        entry.reset(new team_class_metrics { m_latency.Add(labels, latencySeconds),
+            m_firstToken.Add(labels, latencySeconds), m_betweenTokens.Add(labels, tokenSeconds),
+            m_outputTokens.Add(labels), m_cost.Add(labels), m_requests.Add(withOutcome(labels, "ok")) });
     }
     return *entry;
 }
 
 void gateway_metrics::countRequest(const team_name& team, const class_name& requestClass, const std::string& outcome)
 {
-    m_requests.Add({ { "team", team.text() }, { "class", requestClass.text() }, { "outcome", outcome } }).Increment();
+    const prometheus::Labels labels { { "team", team.text() }, { "class", requestClass.text() } };
+    m_requests.Add(withOutcome(labels, outcome)).Increment();
 }
 
 void gateway_metrics::countRetry(const std::string& reason) { m_retries.Add({ { "reason", reason } }).Increment(); }
 
-void gateway_metrics::countRouted(const std::string& target) { m_routed.Add({ { "target", target } }).Increment(); }
+void gateway_metrics::countRouted(const std::string& target)
+{
+    prometheus::Counter*& counter = m_byTarget[target];
+    if (!counter)
+        counter = &m_routed.Add({ { "target", target } });
+    counter->Increment();
+}
 
 void gateway_metrics::setGauge(const std::string& name, const std::string& help, double value)
 {
--- a/libs/gateway/src/service_exchange.cpp
+++ b/libs/gateway/src/service_exchange.cpp
@@ -168,7 +168,7 @@
         http_headers headers = answerHeaders(run_state::Ran);
         headers.emplace_back("Content-Type", answer.contentType);
         m_request->reply(answer.status, headers, answer.body);
-        end("ok");
+        end(outcomeOk);
     });
 }
 
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -2,12 +2,14 @@
 
 #include "header_list.h"
 #include <base/error.h>
+#include <base/socket_address.h>
 #include <cassert>
 #include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <set>
@@ -38,6 +40,20 @@
     }
 }
 
+// Connections that may wait to be accepted. evhttp's own listener takes 128, which a burst of callers overflows; those
+// left over would try again only after a second.
+constexpr int listenBacklog = 4096;
+
+// Null with errno set when the address cannot be used.
+evhttp_bound_socket* bindListener(event_base* base, evhttp* http, const endpoint& listenAddress)
+{
+    socket_address address = toSocketAddress(listenAddress);
+    constexpr unsigned flags = LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_CLOSE_ON_FREE;
+    evconnlistener* listener = evconnlistener_new_bind(
+        base, nullptr, nullptr, flags, listenBacklog, address.get(), static_cast<int>(address.length));
+    return listener ? evhttp_bind_listener(http, listener) : nullptr;
+}
+
 http_request readRequest(evhttp_request* message)
 {
     http_request request;
@@ -249,19 +265,16 @@
         server->handler(std::make_shared<evhttp_server_request>(*server, message));
     };
     evhttp_set_gencb(http, onRequest, m_details.get());
-    m_details->listener = evhttp_bind_socket_with_handle(http, listenAddress.address.c_str(), listenAddress.port);
+    m_details->listener = bindListener(loop.base(), http, listenAddress);
     if (!m_details->listener) {
         const int problem = errno;
         evhttp_free(http);
         evbuffer_free(m_details->scratch);
         throw system_error("cannot listen on " + listenAddress.text(), problem);
     }
-    sockaddr_storage bound {};
-    socklen_t length = sizeof bound;
-    getsockname(evhttp_bound_socket_get_fd(m_details->listener), reinterpret_cast<sockaddr*>(&bound), &length);
-    const in_port_t port = bound.ss_family == AF_INET6 ? reinterpret_cast<sockaddr_in6*>(&bound)->sin6_port
-                                                       : reinterpret_cast<sockaddr_in*>(&bound)->sin_port;
-    m_details->address.port = ntohs(port);
+    socket_address bound;
+    getsockname(evhttp_bound_socket_get_fd(m_details->listener), bound.get(), &bound.length);
+    m_details->address = toEndpoint(bound);
 }
 
 http_server::~http_server()
--- a/libs/platform/include/platform/memory_record_log.h
+++ b/libs/platform/include/platform/memory_record_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <http/event_loop.h>
 #include <map>
 #include <platform/record_log.h>
@@ -21,7 +22,7 @@
         read_callback callback;
     };
     struct stream_state {
-        std::vector<log_record> records;
+        std::deque<log_record> records;
         log_offset next = 1;
         std::vector<waiting_read> waiting;
     };
--- a/libs/platform/src/memory_record_log.cpp
+++ b/libs/platform/src/memory_record_log.cpp
@@ -18,10 +18,8 @@
     const log_offset first = state.next;
     for (std::string& value : records)
         state.records.push_back({ state.next++, m_clock.wallMilliseconds(), std::move(value) });
-    if (state.records.size() > m_maximumRecords) {
-        const auto surplus = static_cast<std::ptrdiff_t>(state.records.size() - m_maximumRecords);
-        state.records.erase(state.records.begin(), state.records.begin() + surplus);
-    }
+    while (state.records.size() > m_maximumRecords)
+        state.records.pop_front();
     m_loop.post([first, callback = std::move(callback)] { callback({ append_outcome::Appended, first }); });
     for (waiting_read& waiting : std::exchange(state.waiting, {})) {
         m_loop.post(
--- a/standins/src/engine_standin.cpp
+++ b/standins/src/engine_standin.cpp
@@ -119,7 +119,9 @@
         const std::shared_ptr<job> work = m_queue.front();
         m_queue.pop_front();
         work->nextToken = nowMicroseconds() + readingTime(*work);
-        m_running.push_back(work);
+        // An engine without any delay answers at once, so that it can stand behind a benchmark.
+        if (m_speed.tokenMicroseconds > 0 || advance(*work, work->nextToken))
+            m_running.push_back(work);
     }
 }
 
