Hand a share of the answers to the rating service

Cause: the settings named a rating service that nothing called, and one daemon asked all engines for load twice a second, which at 3,800 replicas is 7,600 calls a second. Load reports are asked for in turn, at most 16 engines in a round. The log line of a request says why its version was chosen. Tests for the systems over the tables and for the configuration carried past its retention. Conclusion: the cost of load reports is flat in the number of replicas; their age is not, which subsets must mend.

--- a/apps/pollenrouted/daemon.cpp
+++ b/apps/pollenrouted/daemon.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <peer/udp_peer_transport.h>
 #include <platform/http_instance_directory.h>
+#include <platform/http_rating_service.h>
 #include <platform/http_record_log.h>
 #include <platform/memory_record_log.h>
 #include <policy/cheapest_sufficient_policy.h>
@@ -89,7 +90,7 @@
         , journal(journalCapacity)
         , retries(retryShare, retryReserve)
         , shared { loop, time, random, log, settings, tables, policy, engine, service, bills, claims, metrics, journal,
-            retries }
+            retries, nullptr }
         , callers(shared)
     {
     }
@@ -117,6 +118,8 @@
     caller_gateway callers;
     std::unique_ptr<configuration_keeper> configuration;
     std::unique_ptr<http_instance_directory> directory;
+    std::unique_ptr<http_rating_service> ratingService;
+    std::unique_ptr<rating_system> ratings;
     std::vector<std::unique_ptr<fleet_system>> ownedSystems;
     std::vector<fleet_system*> systems;
     std::unique_ptr<operator_gateway> operators;
@@ -146,6 +149,12 @@
             p.loop, *p.platformLog, p.tables, settings.id, p.random, time, log);
         p.systems.push_back(p.configuration.get());
         p.configuration->start();
+        if (settings.platform->ratings) {
+            p.ratingService = std::make_unique<http_rating_service>(p.client, *settings.platform->ratings);
+            p.ratings = std::make_unique<rating_system>(*p.ratingService, p.random);
+            p.shared.ratings = p.ratings.get();
+            p.systems.push_back(p.ratings.get());
+        }
     } else {
         const std::string& path = *settings.fleetFile;
         p.tables.install(std::make_shared<const fleet_document>(parseFleetDocument(readFile(path), path)));
--- a/libs/control/include/control/load_poll_system.h
+++ b/libs/control/include/control/load_poll_system.h
@@ -7,7 +7,8 @@
 
 namespace pollen {
 
-// Asks each engine for its load report and enters it in the server table.
+// Asks engines for their load reports and enters them in the server table: each engine twice a second, or in turn a
+// bounded number of engines where there are many.
 class load_poll_system final : public fleet_system {
 public:
     load_poll_system(model_engine& engine, fleet_tables& tables);
@@ -20,6 +21,7 @@
     model_engine& m_engine;
     fleet_tables& m_tables;
     time_point m_nextPoll {};
+    size_t m_nextRow = 0;
     std::shared_ptr<bool> m_alive;
 };
 
--- a/libs/control/src/load_poll_system.cpp
+++ b/libs/control/src/load_poll_system.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr duration pollInterval = std::chrono::milliseconds(500);
+constexpr size_t maximumPollsPerRound = 16;
 
 } // namespace
 
@@ -20,9 +21,14 @@
     if (now < m_nextPoll)
         return;
     m_nextPoll = now + pollInterval;
-    for (const server_row& row : m_tables.servers().rows()) {
-        if (row.used && row.entry.kind == backend_kind::ModelEngine)
-            poll(row);
+    const std::vector<server_row>& rows = m_tables.servers().rows();
+    size_t polled = 0;
+    for (size_t i = 0; i < rows.size() && polled < maximumPollsPerRound; ++i) {
+        const server_row& row = rows[m_nextRow++ % rows.size()];
+        if (!row.used || row.entry.kind != backend_kind::ModelEngine)
+            continue;
+        poll(row);
+        ++polled;
     }
 }
 
--- /dev/null
+++ b/libs/control/tests/table_systems_test.cpp
@@ -0,0 +1,178 @@
+#include <base/logger.h>
+#include <control/configuration_keeper.h>
+#include <control/instance_sync_system.h>
+#include <control/load_poll_system.h>
+#include <gtest/gtest.h>
+#include <platform/memory_record_log.h>
+#include <set>
+
+namespace pollen {
+
+namespace {
+
+class polled_engine final : public model_engine {
+public:
+    std::unique_ptr<engine_call> generate(const endpoint&, const engine_request&, engine_listener&) override
+    {
+        return nullptr;
+    }
+    void load(const endpoint& server, load_callback callback) override
+    {
+        polled.push_back(server.port);
+        callback(answer);
+    }
+
+    std::vector<uint16_t> polled;
+    std::optional<engine_load> answer;
+};
+
+class scripted_directory final : public instance_directory {
+public:
+    void list(list_callback callback) override { callback(answer); }
+
+    std::optional<std::vector<listed_instance>> answer;
+};
+
+std::vector<listed_server> engines(size_t count)
+{
+    std::vector<listed_server> list(count);
+    for (size_t i = 0; i < count; ++i) {
+        list[i].entry.id = instance_id("engine-" + std::to_string(i));
+        list[i].entry.address = { "127.0.0.1", static_cast<uint16_t>(i + 1) };
+    }
+    return list;
+}
+
+time_point secondsAfterStart(int seconds) { return time_point {} + std::chrono::seconds(seconds); }
+
+} // namespace
+
+TEST(LoadPollSystem, ReachesEveryEngineWithABoundedNumberOfCalls)
+{
+    constexpr size_t engineCount = 40;
+    constexpr size_t mostCalls = 16;
+    fleet_tables tables;
+    tables.replaceServers(engines(engineCount));
+    polled_engine engine;
+    load_poll_system system(engine, tables);
+    std::set<uint16_t> reached;
+    for (int second = 1; second <= 3; ++second) {
+        engine.polled.clear();
+        system.tick(secondsAfterStart(second));
+        EXPECT_LE(engine.polled.size(), mostCalls);
+        reached.insert(engine.polled.begin(), engine.polled.end());
+    }
+    EXPECT_EQ(reached.size(), engineCount);
+}
+
+TEST(LoadPollSystem, EntersReportsAndPassesOverSilence)
+{
+    fleet_tables tables;
+    tables.replaceServers(engines(1));
+    polled_engine engine;
+    load_poll_system system(engine, tables);
+    engine.answer = engine_load { 3, 2, true, {} };
+    system.tick(secondsAfterStart(1));
+    EXPECT_EQ(tables.servers().row({ 0 }).otherRequests, 5U);
+    EXPECT_TRUE(tables.servers().row({ 0 }).leaving);
+    engine.answer.reset();
+    system.tick(secondsAfterStart(2));
+    EXPECT_EQ(tables.servers().row({ 0 }).otherRequests, 5U);
+}
+
+TEST(InstanceSyncSystem, TheLastListStaysInUseWhileThereIsNone)
+{
+    fleet_tables tables;
+    peer_table peers(instance_id("self"), std::chrono::seconds(3));
+    scripted_directory directory;
+    null_logger logger;
+    instance_sync_system system(directory, tables, peers, logger);
+    listed_instance engine { instance_id("e"), instance_role::ModelEngine, {}, { "127.0.0.1", 1 }, {}, {}, false };
+    listed_instance router { instance_id("r"), instance_role::Router, {}, { "127.0.0.1", 2 }, {}, {}, false };
+    directory.answer = { engine, router };
+    system.tick(secondsAfterStart(1));
+    EXPECT_TRUE(tables.servers().find(instance_id("e")));
+    EXPECT_TRUE(peers.addressOf(instance_id("r")));
+    directory.answer.reset();
+    system.tick(secondsAfterStart(2));
+    EXPECT_TRUE(tables.servers().row({ 0 }).takesWork(secondsAfterStart(2)));
+    engine.leaving = true;
+    directory.answer = { engine };
+    system.tick(secondsAfterStart(3));
+    EXPECT_FALSE(tables.servers().row({ 0 }).takesWork(secondsAfterStart(3)));
+}
+
+namespace {
+
+// A log with a clock and a retention of its own.
+class expiring_log final : public record_log {
+public:
+    void append(const std::string&, std::vector<std::string> records, append_callback callback) override
+    {
+        for (std::string& value : records)
+            stored.push_back({ next++, nowMilliseconds, std::move(value) });
+        callback({ append_outcome::Appended, next - records.size() });
+    }
+    void read(const std::string&, log_offset from, duration wait, read_callback callback) override
+    {
+        read_result result { true, {}, stored.empty() ? next : stored.front().offset, nowMilliseconds, retention };
+        for (const log_record& record : stored) {
+            if (record.offset >= from)
+                result.records.push_back(record);
+        }
+        if (result.records.empty() && wait.count() > 0)
+            waiting = std::move(callback);
+        else
+            callback(result);
+    }
+    // Lets time pass, drops what has expired and answers the reader that waits.
+    void pass(int64_t milliseconds)
+    {
+        nowMilliseconds += milliseconds;
+        std::erase_if(
+            stored, [&](const log_record& record) { return record.timeMilliseconds + retention < nowMilliseconds; });
+        if (!waiting)
+            return;
+        const log_offset oldest = stored.empty() ? next : stored.front().offset;
+        std::exchange(waiting, nullptr)({ true, {}, oldest, nowMilliseconds, retention });
+    }
+
+    std::vector<log_record> stored;
+    log_offset next = 1;
+    int64_t nowMilliseconds = 1000;
+    int64_t retention = 10000;
+    read_callback waiting;
+};
+
+} // namespace
+
+TEST(ConfigurationKeeper, CarriesTheStateForwardBeforeItExpires)
+{
+    event_loop loop;
+    expiring_log log;
+    fleet_tables tables;
+    random_source random(1);
+    manual_clock clock;
+    null_logger logger;
+    configuration_record record;
+    record.id = "first";
+    record.document = "[fleet]\nname = \"x\"\ncurrency = \"KES\"\n";
+    log.append(configurationStream, { encodeRecord(record) }, [](const append_result&) {});
+    configuration_keeper keeper(loop, log, tables, instance_id("d"), random, clock, logger);
+    keeper.start();
+    EXPECT_EQ(keeper.version(), 1U);
+    for (int second = 1; second <= 60; ++second) {
+        log.pass(1000);
+        keeper.tick(secondsAfterStart(second));
+    }
+    EXPECT_GE(log.stored.size(), 1U) << "something is always left to start from";
+    EXPECT_LE(log.next, 20U) << "no more often than needed";
+    // A daemon that starts now knows the same.
+    fleet_tables freshTables;
+    configuration_keeper fresh(loop, log, freshTables, instance_id("e"), random, clock, logger);
+    fresh.start();
+    EXPECT_EQ(fresh.version(), keeper.version());
+    EXPECT_EQ(freshTables.document()->name, "x");
+}
+
+} // namespace pollen
--- a/libs/gateway/include/gateway/gateway_dependencies.h
+++ b/libs/gateway/include/gateway/gateway_dependencies.h
@@ -6,6 +6,7 @@
 #include <config/daemon_settings.h>
 #include <control/bill_ledger.h>
 #include <control/claim_ledger.h>
+#include <control/rating_system.h>
 #include <fleet/fleet_tables.h>
 #include <gateway/decision_journal.h>
 #include <gateway/gateway_metrics.h>
@@ -30,6 +31,8 @@
     gateway_metrics& metrics;
     decision_journal& journal;
     retry_budget& retries;
+    // Null where there is no rating service.
+    rating_system* ratings;
 };
 
 } // namespace pollen
--- a/libs/gateway/src/caller_exchange.cpp
+++ b/libs/gateway/src/caller_exchange.cpp
@@ -76,7 +76,7 @@
         m_dependencies.metrics.countRequest(m_team, m_class, outcome);
     m_dependencies.log.write(log_level::Info, "request",
         { { "request", m_id.text() }, { "team", m_team.text() }, { "class", m_class.text() }, { "target", m_target },
-            { "server", m_server.text() }, { "outcome", outcome },
+            { "server", m_server.text() }, { "reason", m_reason }, { "outcome", outcome },
             { "ms", std::chrono::duration<double, std::milli>(elapsed()).count() } });
     std::exchange(m_onEnd, nullptr)();
 }
--- a/libs/gateway/src/caller_exchange.h
+++ b/libs/gateway/src/caller_exchange.h
@@ -53,6 +53,8 @@
     class_name m_class;
     std::string m_target;
     instance_id m_server;
+    // Why the target was chosen.
+    std::string m_reason;
 
 private:
     std::function<void()> m_onEnd;
--- a/libs/gateway/src/chat_exchange.cpp
+++ b/libs/gateway/src/chat_exchange.cpp
@@ -57,6 +57,7 @@
         request, tables.requestClass(requestClass).deadline, m_dependencies.settings.limits.requestTimeout);
     m_deadline = m_start + timeLeft;
     m_measures = &m_dependencies.metrics.of(m_team, m_class);
+    m_isSampled = m_dependencies.ratings && m_dependencies.ratings->wantsSample(m_start);
     readSession();
     const version_ref& wanted = m_chat.wanted;
     const auto& versions = tables.versions();
@@ -147,6 +148,7 @@
     m_outputCost = version.outputCost;
     m_target = version.ref.text();
     m_server = server.entry.id;
+    m_reason = toText(decision.reason);
     if (m_session && !m_session->version.model.empty() && m_session->version != m_version)
         m_sessionChange = "version_unavailable";
     ++m_attempts;
@@ -179,6 +181,8 @@
     m_lastBytes = now;
     m_partsSeen += static_cast<uint64_t>(std::count(bytes.begin(), bytes.end(), '\n')) / 2;
     m_pending += bytes;
+    if (m_isSampled)
+        m_sampled += bytes;
     if (!m_chat.streaming || m_flushPosted)
         return;
     // What arrives in one turn of the loop goes out in one piece.
@@ -247,10 +251,18 @@
     } else {
         m_request->reply(200, headersOfAnswer(json), m_pending);
     }
+    sampleAnswer();
     note("answered", m_target);
     end(outcomeOk);
 }
 
+void chat_exchange::sampleAnswer() const
+{
+    if (!m_isSampled)
+        return;
+    m_dependencies.ratings->submit({ m_id, m_version, m_class, m_request->request().body, m_sampled });
+}
+
 void chat_exchange::onFailed(backend_failure failure, const std::string& detail)
 {
     note("failed", m_server.text() + ": " + toText(failure));
@@ -269,6 +281,7 @@
     }
     m_dependencies.metrics.countRetry(toText(failure));
     m_pending.clear();
+    m_sampled.clear();
     m_partsSeen = 0;
     try {
         attempt();
--- a/libs/gateway/src/chat_exchange.h
+++ b/libs/gateway/src/chat_exchange.h
@@ -37,6 +37,7 @@
     void flush();
     void resumeWhenSent();
     void finishAnswer();
+    void sampleAnswer() const;
     bill makeBill(const token_usage& usage) const;
     void countBill(const bill& bill);
     http_headers headersOfAnswer(const char* contentType) const;
@@ -58,6 +59,9 @@
     // False once an attempt may have run.
     bool m_certainlyNotRun = true;
     std::string m_pending;
+    // The whole answer of a stream that is to be rated.
+    std::string m_sampled;
+    bool m_isSampled = false;
     bool m_flushPosted = false;
     bool m_streamStarted = false;
     bool m_paused = false;
--- a/libs/gateway/src/operator_gateway.cpp
+++ b/libs/gateway/src/operator_gateway.cpp
@@ -85,6 +85,12 @@
     json["bills"] = { { "waiting", shared.bills.waitingBills() }, { "held_for_peers", shared.bills.heldBills() },
         { "unreplicated", shared.bills.unreplicatedBills() } };
     json["claims"] = { { "remembered_keys", shared.claims.rememberedKeys() } };
+    json["ratings"] = nlohmann::json::array();
+    if (shared.ratings) {
+        for (const auto& [key, summary] : shared.ratings->summaries())
+            json["ratings"].push_back({ { "version", key.first.text() }, { "class", key.second.text() },
+                { "count", summary.count }, { "mean", summary.mean() } });
+    }
     json["backend_servers"] = nlohmann::json::array();
     for (const server_row& row : shared.tables.servers().rows()) {
         if (row.used)
--- a/libs/gateway/tests/chat_test.cpp
+++ b/libs/gateway/tests/chat_test.cpp
@@ -255,6 +255,39 @@
     EXPECT_FALSE(m_journal.explain(request_id("unknown")));
 }
 
+TEST_F(GatewayTest, HandsInAFewWholeAnswersToBeRated)
+{
+    constexpr size_t requests = 300;
+    for (size_t i = 0; i < requests; ++i) {
+        m_clock.advance(std::chrono::seconds(1));
+        send(chat(R"(,"stream":true)"));
+        engineCall(i).listener->onBytes(event);
+        answerEngine(i, event);
+    }
+    const auto& samples = m_ratingService.samples;
+    EXPECT_GT(samples.size(), requests / 100);
+    EXPECT_LT(samples.size(), requests / 10);
+    EXPECT_EQ(samples.front().answer, event + event);
+    EXPECT_EQ(samples.front().version.text(), "small/v1");
+}
+
+TEST_F(GatewayTest, SumsUpEachRatingOnce)
+{
+    const version_ref small = parseVersionRef("small/v1");
+    const class_name quick("quick");
+    m_ratingService.answer = { { 1, small, quick, 0.5 }, { 2, small, quick, 1 } };
+    for (int i = 0; i < 3; ++i) {
+        m_clock.advance(std::chrono::seconds(2));
+        m_ratings.tick(m_clock.now());
+    }
+    EXPECT_EQ(m_ratingService.reads, (std::vector<uint64_t> { 1, 3, 3 }));
+    EXPECT_EQ(m_ratings.summaries().at({ small, quick }), (rating_summary { 2, 1.5 }));
+    m_ratingService.answer.reset();
+    m_clock.advance(std::chrono::seconds(2));
+    m_ratings.tick(m_clock.now());
+    EXPECT_EQ(m_ratings.summaries().at({ small, quick }).count, 2U);
+}
+
 TEST_F(GatewayTest, ListsTheModelsOfTheTeam)
 {
     const auto request = send({ "GET", "/v1/models", { { "Authorization", "Bearer key" } }, "" });
--- a/libs/gateway/tests/gateway_fakes.h
+++ b/libs/gateway/tests/gateway_fakes.h
@@ -126,6 +126,21 @@
     std::vector<callback> callbacks;
 };
 
+// Keeps what it is handed in.
+class fake_rating_service final : public rating_service {
+public:
+    void submit(const rating_sample& sample) override { samples.push_back(sample); }
+    void ratings(uint64_t from, ratings_callback callback) override
+    {
+        reads.push_back(from);
+        callback(answer);
+    }
+
+    std::vector<rating_sample> samples;
+    std::vector<uint64_t> reads;
+    std::optional<std::vector<rating>> answer;
+};
+
 inline const char* const gatewayFleet = R"([fleet]
 name = "test"
 currency = "KES"
@@ -308,8 +323,10 @@
     gateway_metrics m_metrics;
     decision_journal m_journal { 100 };
     retry_budget m_retries { 0.1, 20 };
+    fake_rating_service m_ratingService;
+    rating_system m_ratings { m_ratingService, m_random };
     gateway_dependencies m_dependencies { m_loop, m_clock, m_random, m_logger, m_settings, m_tables, m_policy, m_engine,
-        m_service, m_bills, m_claims, m_metrics, m_journal, m_retries };
+        m_service, m_bills, m_claims, m_metrics, m_journal, m_retries, &m_ratings };
     caller_gateway m_gateway { m_dependencies };
 };
 
--- a/libs/platform/tests/platform_contract_test.cpp
+++ b/libs/platform/tests/platform_contract_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <http/http_server.h>
 #include <platform/http_instance_directory.h>
+#include <platform/http_rating_service.h>
 #include <platform/http_record_log.h>
 #include <platform/log_follower.h>
 #include <platform/memory_record_log.h>
@@ -124,6 +125,24 @@
     EXPECT_FALSE(list(answer(500, "")));
 }
 
+TEST_F(PlatformTest, ReadsRatingsOrNothing)
+{
+    const auto read = [&](const std::string& body) {
+        http_rating_service service(m_client, answer(200, body));
+        std::optional<std::optional<std::vector<rating>>> result;
+        service.ratings(4, [&](const auto& ratings) { result = ratings; });
+        EXPECT_TRUE(m_loop.runUntil([&] { return result.has_value(); }, patience));
+        return result.value_or(std::nullopt);
+    };
+    const auto good = read(R"({"ratings":[{"number":4,"version":"m/v1","class":"quick","rating":0.5}]})");
+    ASSERT_TRUE(good);
+    EXPECT_EQ((*good)[0], (rating { 4, parseVersionRef("m/v1"), class_name("quick"), 0.5 }));
+    EXPECT_EQ(m_lastRequest.target, "/ratings?from=4");
+    for (const char* body : { "", "{}", R"({"ratings":[{}]})",
+             R"({"ratings":[{"number":4,"version":"m/v1","class":"quick","rating":7}]})" })
+        EXPECT_FALSE(read(body)) << body;
+}
+
 namespace {
 
 // A log whose answers the test gives one by one.
