--- a/apps/pollenctl/main.cpp
+++ b/apps/pollenctl/main.cpp
@@ -86,7 +86,7 @@
     return text;
 }
 
-int run(const std::vector<std::unique_ptr<command>>& commands, ctl_arguments arguments, const std::string& name)
+int run(const std::vector<std::unique_ptr<command>>& commands, const ctl_arguments& arguments, const std::string& name)
 {
     for (const auto& command : commands) {
         if (command->name() != name)
@@ -132,7 +132,7 @@
     ctl_arguments arguments = toArguments(raw);
     while (const char* operand = poptGetArg(context.get()))
         arguments.operands.emplace_back(operand);
-    return run(commands, std::move(arguments), name);
+    return run(commands, arguments, name);
 }
 
 } // namespace
--- a/bench/src/main.cpp
+++ b/bench/src/main.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <popt.h>
+#include <standins/percentile.h>
 
 namespace {
 
@@ -46,14 +47,6 @@
     double highest = 0;
 };
 
-double percentile(std::vector<double> values, double share)
-{
-    if (values.empty())
-        return 0;
-    std::sort(values.begin(), values.end());
-    return values[static_cast<size_t>(share * static_cast<double>(values.size() - 1) + 0.5)];
-}
-
 class benchmark {
 public:
     explicit benchmark(const options& options)
--- a/build.sh
+++ b/build.sh
@@ -12,7 +12,8 @@
   build    install missing packages, configure and build (default)
   test     build, then run every test
   demo     build, then run both example deployments under changes and failures
-  bench    build, then measure one daemon against a direct connection
+  bench    build, then measure one daemon against a direct connection;
+           with --control, what daemons spend on each other and on the platform
   run      build, then run one daemon before one engine, from examples/single
   format   format every source file
   lint     check formatting and run the linter
@@ -65,7 +66,14 @@
     build) build ;;
     test) build; ctest --test-dir "$build_dir" --output-on-failure -j "$(nproc)" ;;
     demo) build; demo/run.sh "$build_dir" ;;
-    bench) build; bench/run.sh "$build_dir" ;;
+    bench)
+        build
+        case "${2:-}" in
+            "") bench/run.sh "$build_dir" ;;
+            --control) bench/control.sh "$build_dir" ;;
+            *) usage >&2; exit 2 ;;
+        esac
+        ;;
     run) build; run_single ;;
     format) sources | xargs clang-format -i ;;
     lint) lint ;;
--- a/demo/src/demo_plan.cpp
+++ b/demo/src/demo_plan.cpp
@@ -52,7 +52,9 @@
 
 std::string domainOf(const std::string& fleet, int index)
 {
-    return fleet + "-" + static_cast<char>('a' + index % domainCount);
+    std::string name = fleet + "-";
+    name += static_cast<char>('a' + index % domainCount);
+    return name;
 }
 
 planned_fleet makeFleet(
--- a/demo/src/demo_report.cpp
+++ b/demo/src/demo_report.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <iomanip>
 #include <set>
+#include <standins/percentile.h>
 
 namespace pollen {
 
@@ -14,15 +15,6 @@
 constexpr int64_t configurationGraceMs = 5000;
 constexpr int64_t leavingGraceMs = 3000;
 
-double percentile(std::vector<double> values, double share)
-{
-    if (values.empty())
-        return 0;
-    std::sort(values.begin(), values.end());
-    const auto index = static_cast<size_t>(share * static_cast<double>(values.size() - 1) + 0.5);
-    return values[index];
-}
-
 // One promise with the number of times it was seen broken.
 struct promise {
     std::string name;
--- a/demo/src/workload.cpp
+++ b/demo/src/workload.cpp
@@ -29,6 +29,7 @@
 const request_kind& drawKind(const std::vector<request_kind>& kinds, random_source& random)
 {
     std::vector<int> weights;
+    weights.reserve(kinds.size());
     for (const request_kind& kind : kinds)
         weights.push_back(kind.weight);
     std::discrete_distribution<size_t> draw(weights.begin(), weights.end());
--- a/libs/control/tests/claim_ledger_test.cpp
+++ b/libs/control/tests/claim_ledger_test.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr duration patience = std::chrono::seconds(10);
 constexpr int64_t hourMs = 3600000;
 
 struct claim_answer {
--- a/libs/ctl/src/configuration_commands.cpp
+++ b/libs/ctl/src/configuration_commands.cpp
@@ -34,7 +34,7 @@
 
 version_ref readVersion(const std::string& text)
 {
-    const version_ref ref = parseVersionRef(text);
+    version_ref ref = parseVersionRef(text);
     if (ref.model.empty() || ref.version.empty())
         throw ctl_error(ctl_exit::Usage, "'" + text + "' is not MODEL/VERSION");
     return ref;
--- a/libs/http/tests/http_exchange_test.cpp
+++ b/libs/http/tests/http_exchange_test.cpp
@@ -21,7 +21,7 @@
         address.sin_family = AF_INET;
         address.sin_port = htons(server.port);
         inet_pton(AF_INET, server.address.c_str(), &address.sin_addr);
-        ::connect(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        EXPECT_EQ(::connect(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
     }
     ~raw_connection() { close(); }
     raw_connection(const raw_connection&) = delete;
--- a/libs/peer/include/peer/peer_node.h
+++ b/libs/peer/include/peer/peer_node.h
@@ -48,6 +48,8 @@
 
     const identity& self() const { return m_identity; }
     uint64_t droppedDatagrams() const { return m_dropped; }
+    // Bytes handed to the transport so far.
+    uint64_t sentBytes() const { return m_sentBytes; }
 
 private:
     void receive(const endpoint& from, std::string_view datagram);
@@ -62,6 +64,7 @@
     bill_message_handler* m_billHandler = nullptr;
     status m_status;
     uint64_t m_dropped = 0;
+    uint64_t m_sentBytes = 0;
 };
 
 } // namespace pollen
--- a/libs/peer/src/peer_node.cpp
+++ b/libs/peer/src/peer_node.cpp
@@ -38,8 +38,10 @@
 
 void peer_node::send(const endpoint& to, peer_payload payload)
 {
-    m_transport.send(
-        to, encodeDatagram({ m_identity.id, m_identity.incarnation, std::move(payload) }, m_identity.secret));
+    const peer_message message { m_identity.id, m_identity.incarnation, std::move(payload) };
+    const std::string datagram = encodeDatagram(message, m_identity.secret);
+    m_sentBytes += datagram.size();
+    m_transport.send(to, datagram);
 }
 
 void peer_node::receive(const endpoint& from, std::string_view datagram)
--- a/standins/src/main.cpp
+++ b/standins/src/main.cpp
@@ -49,6 +49,10 @@
     event_loop loop;
     std::vector<std::unique_ptr<standin>> standins;
     auto instances = nlohmann::json::array();
+    // Instances that are on the list and do not run, to make it long.
+    for (int64_t i = 0; i < document["listed_only"].value_or<int64_t>(0); ++i)
+        instances.push_back({ { "id", "listed-" + std::to_string(i) }, { "role", "engine" }, { "failure_domain", "a" },
+            { "address", "127.0.0.1:1" }, { "state", "live" }, { "versions", { "bench/v1" } }, { "service", "" } });
     forEachTable(document, "engine", [&](const toml::table& table) {
         engine_speed speed;
         speed.slots = table["slots"].value_or<size_t>(16);
