Read the instance list only when it has changed

Cause: the whole list was read and taken in twice a second. Change: the list's ETag goes back with each read; 304 leaves the tables as they are.

--- a/libs/control/src/instance_sync_system.cpp
+++ b/libs/control/src/instance_sync_system.cpp
@@ -36,16 +36,17 @@
         return;
     m_reading = true;
     m_nextRead = now + readInterval;
-    m_directory.list([this, now, alive = std::weak_ptr<bool>(m_alive)](const auto& list) {
+    m_directory.list([this, now, alive = std::weak_ptr<bool>(m_alive)](const directory_answer& answer) {
         if (alive.expired())
             return;
         m_reading = false;
-        if (!list) {
+        if (answer.state == directory_state::Unavailable) {
             m_logger.write(log_level::Debug, "instance_list_unavailable", {});
             return;
         }
         m_lastList = now;
-        onList(*list);
+        if (answer.state == directory_state::Changed)
+            onList(answer.instances);
     });
 }
 
--- a/libs/control/tests/table_systems_test.cpp
+++ b/libs/control/tests/table_systems_test.cpp
@@ -30,7 +30,7 @@
 public:
     void list(list_callback callback) override { callback(answer); }
 
-    std::optional<std::vector<listed_instance>> answer;
+    directory_answer answer;
 };
 
 std::vector<listed_server> engines(size_t count)
@@ -89,17 +89,20 @@
     instance_sync_system system(directory, tables, peers, logger);
     listed_instance engine { instance_id("e"), instance_role::ModelEngine, {}, { "127.0.0.1", 1 }, {}, {}, false };
     listed_instance router { instance_id("r"), instance_role::Router, {}, { "127.0.0.1", 2 }, {}, {}, false };
-    directory.answer = { engine, router };
+    directory.answer = { directory_state::Changed, { engine, router } };
     system.tick(secondsAfterStart(1));
     EXPECT_TRUE(tables.servers().find(instance_id("e")));
     EXPECT_TRUE(peers.addressOf(instance_id("r")));
-    directory.answer.reset();
+    directory.answer = {};
     system.tick(secondsAfterStart(2));
     EXPECT_TRUE(tables.servers().row({ 0 }).takesWork(secondsAfterStart(2)));
     engine.leaving = true;
-    directory.answer = { engine };
+    directory.answer = { directory_state::Unchanged, {} };
     system.tick(secondsAfterStart(3));
-    EXPECT_FALSE(tables.servers().row({ 0 }).takesWork(secondsAfterStart(3)));
+    EXPECT_TRUE(tables.servers().row({ 0 }).takesWork(secondsAfterStart(3)));
+    directory.answer = { directory_state::Changed, { engine } };
+    system.tick(secondsAfterStart(4));
+    EXPECT_FALSE(tables.servers().row({ 0 }).takesWork(secondsAfterStart(4)));
 }
 
 namespace {
--- a/libs/gateway/src/operator_gateway.cpp
+++ b/libs/gateway/src/operator_gateway.cpp
@@ -119,7 +119,8 @@
         "pollen_claim_keys", "Idempotency keys remembered", count(m_dependencies.shared.claims.rememberedKeys()));
     metrics.setGauge("pollen_datagrams_dropped", "Datagrams from peers that were refused",
         count(m_dependencies.node.droppedDatagrams()));
-    metrics.setGauge("pollen_peer_sent_bytes", "Bytes sent to peers since the start", count(m_dependencies.node.sentBytes()));
+    metrics.setGauge(
+        "pollen_peer_sent_bytes", "Bytes sent to peers since the start", count(m_dependencies.node.sentBytes()));
     if (m_dependencies.configuration)
         metrics.setGauge("pollen_configuration_version", "Log offset of the configuration in force",
             count(m_dependencies.configuration->version()));
--- a/libs/platform/include/platform/http_instance_directory.h
+++ b/libs/platform/include/platform/http_instance_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <http/http_client.h>
+#include <memory>
 #include <platform/instance_directory.h>
 
 namespace pollen {
@@ -15,6 +16,8 @@
 private:
     http_client& m_client;
     endpoint m_server;
+    // Tag of the last list given, so that an unchanged one is not sent again.
+    std::shared_ptr<std::string> m_tag;
 };
 
 } // namespace pollen
--- a/libs/platform/include/platform/instance_directory.h
+++ b/libs/platform/include/platform/instance_directory.h
@@ -3,7 +3,6 @@
 #include <base/endpoint.h>
 #include <base/typed_id.h>
 #include <functional>
-#include <optional>
 #include <vector>
 
 namespace pollen {
@@ -30,13 +29,29 @@
     friend bool operator==(const listed_instance&, const listed_instance&) = default;
 };
 
+enum class directory_state {
+    // The list is given.
+    Changed,
+    // It is the same as the last one given.
+    Unchanged,
+    // It cannot be had now.
+    Unavailable,
+};
+
+struct directory_answer {
+    directory_state state = directory_state::Unavailable;
+    // Given when changed.
+    std::vector<listed_instance> instances {};
+
+    friend bool operator==(const directory_answer&, const directory_answer&) = default;
+};
+
 // The platform's list of live and leaving instances, which lags behind the truth.
 class instance_directory {
 public:
     virtual ~instance_directory() = default;
 
-    // Reports none when the list cannot be had now.
-    using list_callback = std::function<void(const std::optional<std::vector<listed_instance>>&)>;
+    using list_callback = std::function<void(const directory_answer&)>;
     virtual void list(list_callback callback) = 0;
 };
 
--- a/libs/platform/src/http_instance_directory.cpp
+++ b/libs/platform/src/http_instance_directory.cpp
@@ -8,6 +8,7 @@
 
 constexpr duration answerTimeout = std::chrono::seconds(2);
 constexpr int statusOk = 200;
+constexpr int statusNotModified = 304;
 
 std::optional<instance_role> parseRole(const std::string& text)
 {
@@ -43,36 +44,44 @@
     return list;
 }
 
+// Keeps the tag of a list that could be read.
+directory_answer toAnswer(const exchange_result& result, const http_response& response, std::string& tag)
+{
+    if (result.ok() && response.status == statusNotModified)
+        return { directory_state::Unchanged };
+    if (!result.ok() || response.status != statusOk)
+        return {};
+    try {
+        directory_answer answer { directory_state::Changed, parseList(response.body) };
+        tag = findHeader(response.headers, "ETag");
+        return answer;
+    } catch (const nlohmann::json::exception&) {
+        return {};
+    } catch (const endpoint_error&) {
+        return {};
+    }
+}
+
 } // namespace
 
 http_instance_directory::http_instance_directory(http_client& client, const endpoint& server)
     : m_client(client)
     , m_server(server)
+    , m_tag(std::make_shared<std::string>())
 {
 }
 
 void http_instance_directory::list(list_callback callback)
 {
+    http_request request { "GET", "/instances", {}, "" };
+    if (!m_tag->empty())
+        request.headers.emplace_back("If-None-Match", *m_tag);
     exchange_options options;
     options.timeout = answerTimeout;
     options.repeatable = true;
-    const auto onFetched
-        = [callback = std::move(callback)](const exchange_result& result, const http_response& response) {
-              if (!result.ok() || response.status != statusOk) {
-                  callback(std::nullopt);
-                  return;
-              }
-              std::optional<std::vector<listed_instance>> list;
-              try {
-                  list = parseList(response.body);
-              } catch (const nlohmann::json::exception&) {
-                  list.reset();
-              } catch (const endpoint_error&) {
-                  list.reset();
-              }
-              callback(list);
-          };
-    m_client.fetch(m_server, { "GET", "/instances", {}, "" }, options, onFetched);
+    const auto onFetched = [callback = std::move(callback), tag = m_tag](const exchange_result& result,
+                               const http_response& response) { callback(toAnswer(result, response, *tag)); };
+    m_client.fetch(m_server, std::move(request), options, onFetched);
 }
 
 } // namespace pollen
--- a/libs/platform/tests/platform_contract_test.cpp
+++ b/libs/platform/tests/platform_contract_test.cpp
@@ -46,13 +46,18 @@
         return answer.value_or(read_result {});
     }
 
-    std::optional<std::vector<listed_instance>> list(const endpoint& server)
+    directory_answer list(http_instance_directory& directory)
     {
-        http_instance_directory directory(m_client, server);
-        std::optional<std::optional<std::vector<listed_instance>>> answer;
-        directory.list([&](const auto& instances) { answer = instances; });
+        std::optional<directory_answer> answer;
+        directory.list([&](const directory_answer& given) { answer = given; });
         EXPECT_TRUE(m_loop.runUntil([&] { return answer.has_value(); }, patience));
-        return answer.value_or(std::nullopt);
+        return answer.value_or(directory_answer {});
+    }
+
+    directory_answer list(const endpoint& server)
+    {
+        http_instance_directory directory(m_client, server);
+        return list(directory);
     }
 
     event_loop m_loop;
@@ -114,15 +119,25 @@
         {"id":"s","role":"service","failure_domain":"a","address":"127.0.0.1:2","state":"leaving","service":"orders"},
         {"id":"r","role":"router","failure_domain":"a","address":"127.0.0.1:3","state":"live"},
         {"id":"x","role":"something new"}]})"));
-    ASSERT_TRUE(good);
-    ASSERT_EQ(good->size(), 3U);
-    EXPECT_EQ((*good)[0].versions[0].text(), "m/v1");
-    EXPECT_TRUE((*good)[1].leaving);
-    EXPECT_EQ((*good)[2].role, instance_role::Router);
+    EXPECT_EQ(good.state, directory_state::Changed);
+    ASSERT_EQ(good.instances.size(), 3U);
+    EXPECT_EQ(good.instances[0].versions[0].text(), "m/v1");
+    EXPECT_TRUE(good.instances[1].leaving);
+    EXPECT_EQ(good.instances[2].role, instance_role::Router);
     for (const char* body : { "", "{}", R"({"instances":[{"id":"e"}]})",
              R"({"instances":[{"id":"e","role":"engine","failure_domain":"a","address":"nowhere","state":"live"}]})" })
-        EXPECT_FALSE(list(answer(200, body))) << body;
-    EXPECT_FALSE(list(answer(500, "")));
+        EXPECT_EQ(list(answer(200, body)).state, directory_state::Unavailable) << body;
+    EXPECT_EQ(list(answer(500, "")).state, directory_state::Unavailable);
+}
+
+TEST_F(PlatformTest, AnUnchangedListIsNotSentAgain)
+{
+    http_instance_directory directory(m_client, answer(200, R"({"instances":[]})", { { "ETag", "\"7\"" } }));
+    EXPECT_EQ(list(directory).state, directory_state::Changed);
+    EXPECT_EQ(findHeader(m_lastRequest.headers, "If-None-Match"), "");
+    EXPECT_EQ(list(directory).state, directory_state::Changed);
+    EXPECT_EQ(findHeader(m_lastRequest.headers, "If-None-Match"), "\"7\"");
+    EXPECT_EQ(list(answer(304, "")).state, directory_state::Unchanged);
 }
 
 TEST_F(PlatformTest, ReadsRatingsOrNothing)
--- a/standins/include/standins/instance_list_standin.h
+++ b/standins/include/standins/instance_list_standin.h
@@ -20,6 +20,8 @@
 private:
     nlohmann::json m_instances;
     int64_t m_outage = 0;
+    // Counts the changes of the list.
+    uint64_t m_edition = 1;
 };
 
 } // namespace pollen
--- a/standins/src/instance_list_standin.cpp
+++ b/standins/src/instance_list_standin.cpp
@@ -12,6 +12,7 @@
 {
     if (name == "outage")
         m_outage = value;
+    ++m_edition;
     const size_t dot = name.find('.');
     if (dot == std::string::npos)
         return;
@@ -32,12 +33,17 @@
         replyJson(*request, 503, { { "error", "unavailable" } });
         return;
     }
+    const std::string tag = "\"" + std::to_string(m_edition) + "\"";
+    if (findHeader(request->request().headers, "If-None-Match") == tag) {
+        request->reply(304, { { "ETag", tag } }, "");
+        return;
+    }
     auto list = nlohmann::json::array();
     for (const auto& instance : m_instances) {
         if (!instance.value("gone", false))
             list.push_back(instance);
     }
-    replyJson(*request, 200, { { "instances", list } });
+    replyJson(*request, 200, { { "instances", list } }, { { "ETag", tag } });
 }
 
 } // namespace pollen
