--- a/build.sh
+++ b/build.sh
@@ -13,7 +13,8 @@
   test     build, then run every test
   demo     build, then run both example deployments under changes and failures
   bench    build, then measure one daemon against a direct connection;
-           with --control, what daemons spend on each other and on the platform
+           with --control, what daemons spend on each other and on the platform;
+           with --decisions, the time of one decision
   run      build, then run one daemon before one engine, from examples/single
   format   format every source file
   lint     check formatting and run the linter
@@ -71,6 +72,7 @@
         case "${2:-}" in
             "") bench/run.sh "$build_dir" ;;
             --control) bench/control.sh "$build_dir" ;;
+            --decisions) "$build_dir/libs/policy/policy_benchmarks" ;;
             *) usage >&2; exit 2 ;;
         esac
         ;;
--- a/libs/ctl/src/command.cpp
+++ b/libs/ctl/src/command.cpp
@@ -1,6 +1,6 @@
 #include <ctl/command.h>
 
-#include "configuration_commands.h"
+#include "command_lists.h"
 
 namespace pollen {
 
--- a/libs/ctl/src/inspection_commands.cpp
+++ b/libs/ctl/src/inspection_commands.cpp
@@ -1,4 +1,4 @@
-#include "configuration_commands.h"
+#include "command_lists.h"
 
 #include "platform_session.h"
 
