Bound the claims that wait to be released

Cause: a claim whose append never arrives was remembered for ever; a log that loses requests for long would have grown the set without limit. Change: at most 10,000 are remembered; one beyond that leaves its key taken until its lifetime ends. Measured: the control package's 26 tests pass; growth was not provoked, the limit is read off the code. Conclusion: memory is bounded; no call can run twice by it, as a key that stays taken is never granted.

--- a/libs/control/src/claim_ledger.cpp
+++ b/libs/control/src/claim_ledger.cpp
@@ -11,6 +11,7 @@
 constexpr size_t maximumRecordedBody = 16U << 10;
 constexpr size_t maximumBatch = 128;
 constexpr size_t maximumQueue = 10000;
+constexpr size_t maximumAbandoned = 10000;
 // Least time between two appends of one daemon.
 constexpr duration appendSpacing = std::chrono::milliseconds(20);
 // How long a request waits for its claim to come back from the log, or for the answer of another owner.
@@ -78,7 +79,8 @@
     const auto found = m_waiters.find(request);
     if (found == m_waiters.end())
         return;
-    if (!found->second.ownedElsewhere)
+    // Beyond the limit a claim that still arrives keeps its key until the key's lifetime ends, which is safe.
+    if (!found->second.ownedElsewhere && m_abandoned.size() < maximumAbandoned)
         m_abandoned.insert(request);
     m_waiters.erase(found);
 }
