Bill a request once when its caller hangs up late

Cause: read in the code: a caller that hung up while the bill of its whole answer was on its way to a peer was counted a second time, for the part that it had seen. Change: one place bills a request, once. Conclusion: metrics agree with bills.

--- a/libs/gateway/src/chat_exchange.cpp
+++ b/libs/gateway/src/chat_exchange.cpp
@@ -231,9 +231,7 @@
     m_dependencies.tables.servers().reportSuccess(*m_busyServer);
     releaseServer();
     m_dependencies.loop.post([call = std::shared_ptr<engine_call>(std::move(m_call))] {});
-    const bill bill = makeBill(usage);
-    countBill(bill);
-    m_dependencies.bills.record(bill, [weak = weak_from_this(), this] {
+    billOnce(usage, [weak = weak_from_this(), this] {
         const auto self = weak.lock();
         if (self && !ended())
             finishAnswer();
@@ -309,7 +307,7 @@
     // The status line is out. The error goes into the stream, which then ends without its closing event.
     m_request->sendPart(m_pending + "event: error\ndata: " + toJson(error, m_id) + "\n\n");
     m_request->endStream();
-    m_dependencies.bills.record(makeBill({ m_chat.promptTokens, m_partsSeen }), [] {});
+    billOnce({ m_chat.promptTokens, m_partsSeen }, [] {});
     end(toText(error.kind));
 }
 
@@ -330,11 +328,8 @@
 {
     m_call.reset();
     releaseServer();
-    if (m_partsSeen > 0) {
-        const bill bill = makeBill({ m_chat.promptTokens, m_partsSeen });
-        countBill(bill);
-        m_dependencies.bills.record(bill, [] {});
-    }
+    if (m_partsSeen > 0)
+        billOnce({ m_chat.promptTokens, m_partsSeen }, [] {});
     note("cancelled", "the caller hung up");
     end("cancelled");
 }
@@ -356,10 +351,16 @@
     return bill;
 }
 
-void chat_exchange::countBill(const bill& bill)
+// The caller may hang up while the bill of its whole answer is on its way to a peer; that bill stands.
+void chat_exchange::billOnce(const token_usage& usage, std::function<void()> whenSafe)
 {
+    if (m_billed)
+        return;
+    m_billed = true;
+    const bill bill = makeBill(usage);
     m_measures->outputTokens.Increment(static_cast<double>(bill.outputTokens));
     m_measures->cost.Increment(bill.cost);
+    m_dependencies.bills.record(bill, std::move(whenSafe));
 }
 
 http_headers chat_exchange::headersOfAnswer(const char* contentType) const
--- a/libs/gateway/src/chat_exchange.h
+++ b/libs/gateway/src/chat_exchange.h
@@ -39,7 +39,7 @@
     void finishAnswer();
     void sampleAnswer() const;
     bill makeBill(const token_usage& usage) const;
-    void countBill(const bill& bill);
+    void billOnce(const token_usage& usage, std::function<void()> whenSafe);
     http_headers headersOfAnswer(const char* contentType) const;
 
     chat_request m_chat;
@@ -62,6 +62,7 @@
     // The whole answer of a stream that is to be rated.
     std::string m_sampled;
     bool m_isSampled = false;
+    bool m_billed = false;
     bool m_flushPosted = false;
     bool m_streamStarted = false;
     bool m_paused = false;
--- a/libs/gateway/tests/chat_test.cpp
+++ b/libs/gateway/tests/chat_test.cpp
@@ -171,6 +171,22 @@
     EXPECT_EQ(all[0].outputTokens, 2U);
 }
 
+TEST_F(GatewayTest, ACallerThatHangsUpWhileItsBillIsOnItsWayIsBilledOnce)
+{
+    m_peers.hear({ instance_id("silent"), 1, failure_domain_name("b"), { "127.0.0.1", 1 }, false, 0 }, m_clock.now());
+    const auto request = send(chat(R"(,"stream":true)"));
+    engineCall(0).listener->onBytes(event + event);
+    engineCall(0).listener->onAnswered({ 3, 10 });
+    EXPECT_FALSE(request->ended) << "the peer has not answered";
+    request->hangUp();
+    turn();
+    const auto all = bills();
+    ASSERT_EQ(all.size(), 1U);
+    EXPECT_EQ(all[0].outputTokens, 10U);
+    EXPECT_NE(
+        m_metrics.render().find("pollen_output_tokens_total{class=\"quick\",team=\"sales\"} 10"), std::string::npos);
+}
+
 TEST_F(GatewayTest, HoldsTheEngineBackForASlowReader)
 {
     const auto request = send(chat(R"(,"stream":true)"));
