Let the demo see a request that is billed twice

Cause: the demo asked only whether a bill with the expected id was there; a second bill under another id went unseen. Change: every bill in the log must belong to a request that a caller sent.

--- a/demo/src/demo_report.cpp
+++ b/demo/src/demo_report.cpp
@@ -47,7 +47,7 @@
         for (const service_work& work : m_records.serviceWork)
             m_workedRequests.insert(work.request);
         for (const billed& bill : m_records.bills)
-            ++m_billCounts[bill.id];
+            m_billIds.insert(bill.id);
     }
 
     const fleet_records& records() const { return m_records; }
@@ -171,17 +171,22 @@
         return sha256Hex(record.team + "\n" + scope + "\n" + record.marker);
     }
 
+    // A request that is sent again keeps its id, so that a second bill for it would carry one that no request has.
     promise judgeBills() const
     {
-        return overCallers(
-            "each answered request is billed once", [this](const caller_record& record, promise& result) {
-                const auto found = m_billCounts.find(billIdOf(record));
-                const bool billed = found != m_billCounts.end();
-                if (record.outcome == caller_outcome::Complete)
-                    result.check(billed, record.marker + " has no bill");
-                else if (record.outcome == caller_outcome::Refused)
-                    result.check(!billed, record.marker + " was refused and billed");
-            });
+        std::set<std::string> expected;
+        promise result
+            = overCallers("each answered request is billed once", [&](const caller_record& record, promise& judged) {
+                  const std::string id = billIdOf(record);
+                  expected.insert(id);
+                  if (record.outcome == caller_outcome::Complete)
+                      judged.check(m_billIds.contains(id), record.marker + " has no bill");
+                  else if (record.outcome == caller_outcome::Refused)
+                      judged.check(!m_billIds.contains(id), record.marker + " was refused and billed");
+              });
+        for (const std::string& id : m_billIds)
+            result.check(expected.contains(id), "bill " + id + " belongs to no request");
+        return result;
     }
 
     promise judgeSessions() const
@@ -237,7 +242,7 @@
     const std::vector<demo_event>& m_events;
     fleet_records m_records;
     std::set<std::string> m_workedRequests;
-    std::map<std::string, size_t> m_billCounts;
+    std::set<std::string> m_billIds;
 };
 
 void printClasses(const planned_fleet& fleet, const load_result& load, std::ostream& out)
