--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -29,6 +29,8 @@
     bool requestSent = false;
     // True once the status line and headers have been read.
     bool responseStarted = false;
+    // The connection could not be used because the server refused it or closed it, not because it stayed silent.
+    bool refused = false;
 
     bool ok() const { return failure == exchange_failure::None; }
 
@@ -52,6 +54,11 @@
     // Use a connection that has carried nothing before. Set for calls that must not be repeated: a connection kept
     // open may have been closed by the server in the moment before the request is written.
     bool freshConnection = false;
+    // A kept connection that has been idle for longer is not used.
+    duration maximumIdle = std::chrono::hours(1);
+    // A response in which this header has another value answers another request, and is skipped; empty: not checked.
+    std::string echoHeader {};
+    std::string echoValue {};
     // The request may reach the server twice. It is then sent again on a fresh connection when a kept connection turns
     // out to have been closed.
     bool repeatable = false;
@@ -71,7 +78,8 @@
     virtual void closeAfterwards() = 0;
 };
 
-// HTTP/1.1 client over evhttp with kept connections, one pool for each endpoint.
+// HTTP/1.1 client over bufferevents with Boost.Beast's parser and kept connections, one pool for each endpoint. The
+// Host header is the endpoint unless the request has one.
 class http_client {
 public:
     explicit http_client(event_loop& loop);
@@ -87,9 +95,13 @@
     using fetch_callback = std::function<void(const exchange_result&, const http_response&)>;
     void fetch(const endpoint& server, http_request request, exchange_options options, fetch_callback callback);
 
+    // Closes the idle connections to an endpoint whose server has gone.
+    void forget(const endpoint& server);
+
 private:
+    class connection;
     struct pool;
-    class evhttp_exchange;
+    class pooled_exchange;
     class fetch_exchange;
     std::shared_ptr<pool> m_pool;
 };
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -7,8 +7,6 @@
 #include <http/http_message.h>
 #include <memory>
 
-struct evhttp;
-
 namespace pollen {
 
 // One request received by an http_server, and its response. Shared by the server and the handler; all calls are
@@ -48,11 +46,14 @@
     size_t maximumBodyBytes = 4U << 20;
     // Time within which a caller must deliver its request, and the longest pause it may make in taking a response.
     duration idleTimeout = std::chrono::seconds(60);
+    // Time from the first byte of a request to the end of its head.
+    duration headerTimeout = std::chrono::seconds(60);
 
     friend bool operator==(const http_server_limits&, const http_server_limits&) = default;
 };
 
-// HTTP/1.1 server over evhttp that notices callers which hang up while their response is pending.
+// HTTP/1.1 server over bufferevents with Boost.Beast's parser. It notices callers that hang up while their response
+// is pending, and answers one request of a connection after the other.
 class http_server {
 public:
     using handler = std::function<void(std::shared_ptr<server_request>)>;
@@ -66,19 +67,28 @@
     // The address in use, with the port that was taken.
     const endpoint& address() const;
 
+    // In force for requests that begin afterwards.
+    void setLimits(const http_server_limits& limits);
+
     // Closes the listening socket. Open connections go on.
     void stopAccepting();
 
     // When set, each response asks the caller to close the connection.
     void setClosing(bool closing);
 
+    // Closes the connections that are between two requests.
+    void closeIdleConnections();
+
     // Requests received and not answered completely.
     size_t openRequests() const;
 
+    size_t openConnections() const;
+
 private:
-    class evhttp_server_request;
+    class connection;
+    class connection_request;
     struct details;
-    std::unique_ptr<details> m_details;
+    std::shared_ptr<details> m_details;
 };
 
 } // namespace pollen
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -1,13 +1,16 @@
 #include <http/http_client.h>
 
 #include "early_write.h"
-#include "header_list.h"
+#include "header_text.h"
+#include "message_parser.h"
 #include <algorithm>
+#include <base/socket_address.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/http.h>
 #include <map>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <set>
 
 namespace pollen {
@@ -16,34 +19,35 @@
 
 constexpr size_t maximumIdleConnections = 512;
 constexpr size_t maximumHeaderBytes = 64U << 10;
-
-evhttp_cmd_type toCommand(const std::string& method)
+// The parser's own limit for bodies is out of reach: each exchange counts its body against its own limit.
+constexpr size_t unlimitedBodyBytes = size_t { 1 } << 40;
+constexpr int firstFinalStatus = 200;
+// A kept connection is given up this long before the server said that it would close it.
+constexpr duration keepAliveMargin = std::chrono::milliseconds(500);
+
+// The time for which the server keeps an idle connection, by its Keep-Alive header; none without one.
+std::optional<duration> keptOpenFor(const http_headers& headers)
 {
-    static const std::map<std::string, evhttp_cmd_type> commands {
-        { "GET", EVHTTP_REQ_GET },
-        { "POST", EVHTTP_REQ_POST },
-        { "PUT", EVHTTP_REQ_PUT },
-        { "DELETE", EVHTTP_REQ_DELETE },
-        { "HEAD", EVHTTP_REQ_HEAD },
-        { "PATCH", EVHTTP_REQ_PATCH },
-        { "OPTIONS", EVHTTP_REQ_OPTIONS },
-    };
-    const auto found = commands.find(method);
-    return found == commands.end() ? EVHTTP_REQ_GET : found->second;
+    constexpr std::string_view name = "timeout=";
+    const std::string_view value = findHeader(headers, "Keep-Alive");
+    const size_t start = value.find(name);
+    if (start == std::string_view::npos)
+        return std::nullopt;
+    return std::chrono::seconds(std::atoi(std::string(value.substr(start + name.size())).c_str()));
 }
 
-exchange_failure toFailure(evhttp_request_error kind)
+bool bodyExpected(const std::string& method) { return method == "POST" || method == "PUT" || method == "PATCH"; }
+
+void writeRequest(evbuffer* output, const http_request& request, const endpoint& server)
 {
-    switch (kind) {
-    case EVREQ_HTTP_TIMEOUT:
-        return exchange_failure::TimedOut;
-    case EVREQ_HTTP_INVALID_HEADER:
-        return exchange_failure::MalformedResponse;
-    case EVREQ_HTTP_DATA_TOO_LONG:
-        return exchange_failure::ResponseTooLarge;
-    default:
-        return exchange_failure::ConnectionLost;
-    }
+    evbuffer_add_printf(output, "%s %s HTTP/1.1\r\n", request.method.c_str(), request.target.c_str());
+    if (findHeader(request.headers, "Host").empty())
+        evbuffer_add_printf(output, "Host: %s\r\n", server.text().c_str());
+    addHeaderLines(output, request.headers);
+    if (!request.body.empty() || bodyExpected(request.method))
+        evbuffer_add_printf(output, "Content-Length: %zu\r\n", request.body.size());
+    evbuffer_add(output, "\r\n", 2);
+    evbuffer_add(output, request.body.data(), request.body.size());
 }
 
 } // namespace
@@ -67,14 +71,213 @@
     return "connection_lost";
 }
 
-// One client connection with a count of the bytes that have left its output buffer.
-struct pooled_connection {
-    evhttp_connection* handle = nullptr;
-    size_t bytesSent = 0;
-    // It has carried an exchange before.
-    bool usedBefore = false;
-    // The exchange that evhttp's callbacks are for; null when it has been given up.
-    void* exchange = nullptr;
+// What a connection tells the exchange that it carries.
+class connection_events {
+public:
+    virtual ~connection_events() = default;
+    virtual void onHead(int status, const http_headers& headers) = 0;
+    virtual void onBody(std::string_view bytes) = 0;
+    virtual void onComplete() = 0;
+    virtual void onBroken(exchange_failure failure, bool refused) = 0;
+};
+
+// One connection to a server. It carries one exchange at a time and closes itself when anything arrives between two.
+class http_client::connection final : public std::enable_shared_from_this<connection>, private message_events {
+public:
+    connection(event_loop& loop, const endpoint& server)
+        : m_loop(loop)
+        , m_server(server)
+        , m_events(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE))
+    {
+        const auto onRead = [](bufferevent*, void* self) { static_cast<connection*>(self)->process(); };
+        const auto onEvent
+            = [](bufferevent*, short what, void* self) { static_cast<connection*>(self)->onEvent(what); };
+        bufferevent_setcb(m_events, onRead, nullptr, onEvent, this);
+        const auto onOutput = [](evbuffer*, const evbuffer_cb_info* info, void* self) {
+            static_cast<connection*>(self)->m_bytesSent += info->n_deleted;
+        };
+        evbuffer_add_cb(bufferevent_get_output(m_events), onOutput, this);
+        bufferevent_enable(m_events, EV_READ | EV_WRITE);
+        socket_address address = toSocketAddress(server);
+        m_connectFailed = bufferevent_socket_connect(m_events, address.get(), static_cast<int>(address.length)) != 0;
+    }
+    ~connection() override
+    {
+        if (m_events)
+            bufferevent_free(m_events);
+    }
+
+    const endpoint& server() const { return m_server; }
+    bool connectFailed() const { return m_connectFailed; }
+    bool usedBefore() const { return m_usedBefore; }
+    bool closed() const { return m_closed; }
+    size_t bytesSent() const { return m_bytesSent; }
+    std::optional<duration> keptOpenFor() const { return m_keptOpenFor; }
+    event_loop& loop() { return m_loop; }
+
+    void send(connection_events& events, const http_request& request, const exchange_options& options)
+    {
+        m_exchange = &events;
+        m_bytesSent = 0;
+        m_echoHeader = options.echoHeader;
+        m_echoValue = options.echoValue;
+        m_noBody = request.method == "HEAD";
+        startParser();
+        writeRequest(bufferevent_get_output(m_events), request, m_server);
+        if (m_connected)
+            writeEarly(m_events);
+    }
+
+    // Lets go of a complete exchange. False when the connection cannot carry another one and has been closed.
+    bool release()
+    {
+        m_exchange = nullptr;
+        const bool clean = !m_closed && m_reusable && evbuffer_get_length(bufferevent_get_input(m_events)) == 0
+            && evbuffer_get_length(bufferevent_get_output(m_events)) == 0;
+        if (!clean) {
+            close();
+            return false;
+        }
+        bufferevent_enable(m_events, EV_READ);
+        m_usedBefore = true;
+        m_parser.reset();
+        return true;
+    }
+
+    // Closes the socket from the loop, outside the callbacks of its bufferevent.
+    void close()
+    {
+        m_exchange = nullptr;
+        if (m_closed)
+            return;
+        m_closed = true;
+        if (m_parser)
+            m_parser->stop();
+        bufferevent_setcb(m_events, nullptr, nullptr, nullptr, nullptr);
+        bufferevent_disable(m_events, EV_READ | EV_WRITE);
+        m_loop.post([self = shared_from_this()] { bufferevent_free(std::exchange(self->m_events, nullptr)); });
+    }
+
+    void pauseReading()
+    {
+        if (!m_closed)
+            bufferevent_disable(m_events, EV_READ);
+    }
+    void resumeReading()
+    {
+        if (!m_closed)
+            bufferevent_enable(m_events, EV_READ);
+    }
+
+private:
+    void startParser()
+    {
+        m_skipping = false;
+        m_parser.emplace(static_cast<message_events&>(*this), maximumHeaderBytes, unlimitedBodyBytes);
+        if (m_noBody)
+            m_parser->expectNoBody();
+    }
+
+    void onEvent(short what)
+    {
+        const auto self = shared_from_this();
+        if (what & BEV_EVENT_CONNECTED) {
+            m_connected = true;
+            const int enabled = 1;
+            setsockopt(bufferevent_getfd(m_events), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+            return;
+        }
+        if (what & BEV_EVENT_EOF) {
+            process();
+            // A response without a length ends here, but not where the connection was reset.
+            const bool complete = m_exchange && !m_closed && m_parser && m_parser->started()
+                && m_parser->feedEnd() == parse_state::Complete;
+            if (complete && !m_skipping) {
+                m_reusable = false;
+                m_exchange->onComplete();
+                return;
+            }
+        }
+        fail(m_connected ? exchange_failure::ConnectionLost : exchange_failure::ConnectFailed, true);
+    }
+
+    void fail(exchange_failure failure, bool refused)
+    {
+        connection_events* exchange = m_exchange;
+        if (m_closed)
+            return;
+        close();
+        if (exchange)
+            exchange->onBroken(failure, refused);
+    }
+
+    void process()
+    {
+        const auto self = shared_from_this();
+        evbuffer* input = bufferevent_get_input(m_events);
+        while (!m_closed && evbuffer_get_length(input) > 0) {
+            if (!m_exchange || !m_parser) {
+                // Bytes that belong to no request.
+                close();
+                return;
+            }
+            const parse_state state = m_parser->feed(input);
+            if (m_closed || state == parse_state::NeedsMore)
+                return;
+            if (state != parse_state::Complete) {
+                fail(exchange_failure::MalformedResponse, false);
+                return;
+            }
+            if (m_skipping || m_parser->status() < firstFinalStatus) {
+                startParser();
+                continue;
+            }
+            m_reusable = m_parser->keepAlive() && !m_everSkipped;
+            m_exchange->onComplete();
+            return;
+        }
+    }
+
+    void onMessageHead() override
+    {
+        if (m_parser->status() < firstFinalStatus)
+            return;
+        const http_headers& headers = m_parser->headers();
+        const std::string_view echo = m_echoHeader.empty() ? std::string_view {} : findHeader(headers, m_echoHeader);
+        if (!echo.empty() && echo != m_echoValue) {
+            m_skipping = true;
+            m_everSkipped = true;
+            return;
+        }
+        m_keptOpenFor = pollen::keptOpenFor(headers);
+        if (m_exchange)
+            m_exchange->onHead(m_parser->status(), headers);
+    }
+
+    void onMessageBody(std::string_view bytes) override
+    {
+        if (!m_skipping && m_exchange)
+            m_exchange->onBody(bytes);
+    }
+
+    event_loop& m_loop;
+    endpoint m_server;
+    bufferevent* m_events;
+    connection_events* m_exchange = nullptr;
+    std::optional<response_parser> m_parser;
+    std::optional<duration> m_keptOpenFor;
+    std::string m_echoHeader;
+    std::string m_echoValue;
+    size_t m_bytesSent = 0;
+    bool m_noBody = false;
+    bool m_connectFailed = false;
+    bool m_connected = false;
+    bool m_usedBefore = false;
+    bool m_reusable = false;
+    bool m_closed = false;
+    // The response being read answers another request.
+    bool m_skipping = false;
+    bool m_everSkipped = false;
 };
 
 // Kept connections by endpoint.
@@ -84,264 +287,194 @@
     {
     }
 
-    pooled_connection* open(const endpoint& server)
-    {
-        auto* connection = new pooled_connection;
-        bufferevent* events = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-        connection->handle
-            = evhttp_connection_base_bufferevent_new(loop.base(), nullptr, events, server.address.c_str(), server.port);
-        evhttp_connection_set_max_headers_size(connection->handle, maximumHeaderBytes);
-        const auto onOutput = [](evbuffer*, const evbuffer_cb_info* info, void* counter) {
-            static_cast<pooled_connection*>(counter)->bytesSent += info->n_deleted;
-        };
-        evbuffer_add_cb(bufferevent_get_output(events), onOutput, connection);
-        return connection;
-    }
+    struct idle_connection {
+        std::shared_ptr<connection> handle;
+        time_point since;
+        time_point until;
+    };
+
+    std::shared_ptr<connection> open(const endpoint& server) { return std::make_shared<connection>(loop, server); }
 
-    pooled_connection* take(const endpoint& server)
+    std::shared_ptr<connection> take(const endpoint& server, duration maximumIdle)
     {
+        const time_point now = time.now();
         auto& idle = idleByEndpoint[server];
-        if (idle.empty())
-            return open(server);
-        pooled_connection* connection = idle.back();
-        idle.pop_back();
-        return connection;
+        while (!idle.empty()) {
+            const idle_connection last = idle.back();
+            idle.pop_back();
+            if (last.handle->closed())
+                continue;
+            if (now < last.until && now - last.since <= maximumIdle)
+                return last.handle;
+            last.handle->close();
+        }
+        return open(server);
     }
 
-    void put(const endpoint& server, pooled_connection* connection)
+    void put(const std::shared_ptr<connection>& connection)
     {
-        auto& idle = idleByEndpoint[server];
-        connection->usedBefore = true;
+        auto& idle = idleByEndpoint[connection->server()];
         if (closed || idle.size() >= maximumIdleConnections) {
-            loop.post([connection] { destroy(connection); });
+            connection->close();
             return;
         }
-        idle.push_back(connection);
+        const time_point now = time.now();
+        std::erase_if(idle, [](const idle_connection& entry) { return entry.handle->closed(); });
+        const std::optional<duration> keep = connection->keptOpenFor();
+        idle.push_back({ connection, now, keep ? now + *keep - keepAliveMargin : time_point::max() });
     }
 
-    static void destroy(pooled_connection* connection)
+    void forget(const endpoint& server)
     {
-        evhttp_connection_free(connection->handle);
-        delete connection;
+        const auto found = idleByEndpoint.find(server);
+        if (found == idleByEndpoint.end())
+            return;
+        for (const idle_connection& entry : found->second)
+            entry.handle->close();
+        idleByEndpoint.erase(found);
     }
 
     void close()
     {
         closed = true;
-        for (const auto& [server, idle] : idleByEndpoint) {
-            for (pooled_connection* connection : idle)
-                destroy(connection);
-        }
-        idleByEndpoint.clear();
+        while (!idleByEndpoint.empty())
+            forget(endpoint(idleByEndpoint.begin()->first));
     }
 
     event_loop& loop;
+    os_clock time;
     bool closed = false;
-    std::map<endpoint, std::vector<pooled_connection*>> idleByEndpoint;
+    std::map<endpoint, std::vector<idle_connection>> idleByEndpoint;
     std::set<fetch_exchange*> fetches;
 };
 
-class http_client::evhttp_exchange final : public exchange {
+class http_client::pooled_exchange final : public exchange, private connection_events {
 public:
-    evhttp_exchange(std::shared_ptr<pool> pool, const endpoint& server, http_request request, exchange_options options,
+    pooled_exchange(std::shared_ptr<pool> pool, const endpoint& server, http_request request, exchange_options options,
         exchange_listener& listener)
         : m_pool(std::move(pool))
         , m_server(server)
         , m_request(std::move(request))
-        , m_options(options)
+        , m_options(std::move(options))
         , m_listener(listener)
         , m_deadline(m_pool->loop, [this] { onTimer(); })
         , m_alive(std::make_shared<bool>(true))
     {
-        m_connection = options.freshConnection ? m_pool->open(server) : m_pool->take(server);
+        m_connection = m_options.freshConnection ? m_pool->open(server) : m_pool->take(server, m_options.maximumIdle);
         send();
-        m_deadline.startOnce(std::min(options.timeout, options.connectTimeout));
+        m_deadline.startOnce(std::min(m_options.timeout, m_options.connectTimeout));
     }
 
-    ~evhttp_exchange() override
+    ~pooled_exchange() override
     {
         *m_alive = false;
-        abandon(false);
+        if (m_connection)
+            m_connection->close();
     }
 
     void pauseReading() override
     {
         if (m_connection)
-            bufferevent_disable(evhttp_connection_get_bufferevent(m_connection->handle), EV_READ);
+            m_connection->pauseReading();
     }
 
     void resumeReading() override
     {
         if (m_connection)
-            bufferevent_enable(evhttp_connection_get_bufferevent(m_connection->handle), EV_READ);
+            m_connection->resumeReading();
     }
 
     void closeAfterwards() override { m_closeAfterwards = true; }
 
 private:
-    static evhttp_exchange* current(void* connection)
-    {
-        return static_cast<evhttp_exchange*>(static_cast<pooled_connection*>(connection)->exchange);
-    }
-
     void send()
     {
-        m_connection->bytesSent = 0;
-        m_connection->exchange = this;
-        const auto wholeSeconds = std::chrono::duration_cast<std::chrono::seconds>(m_options.timeout).count();
-        const timeval idleLimit { static_cast<time_t>(wholeSeconds + 1), 0 };
-        evhttp_connection_set_timeout_tv(m_connection->handle, &idleLimit);
-        const auto done = [](evhttp_request* message, void* connection) {
-            if (evhttp_exchange* self = current(connection))
-                self->onDone(message);
-        };
-        evhttp_request* message = evhttp_request_new(done, m_connection);
-        evhttp_request_set_header_cb(message, [](evhttp_request* response, void* connection) {
-            if (evhttp_exchange* self = current(connection))
-                self->onHead(response);
-            return 0;
-        });
-        evhttp_request_set_chunked_cb(message, [](evhttp_request* response, void* connection) {
-            if (evhttp_exchange* self = current(connection))
-                self->onChunk(response);
-        });
-        evhttp_request_set_error_cb(message, [](evhttp_request_error kind, void* connection) {
-            if (evhttp_exchange* self = current(connection))
-                self->m_failure = toFailure(kind);
-        });
-        evkeyvalq* headers = evhttp_request_get_output_headers(message);
-        for (const auto& [name, value] : m_request.headers)
-            evhttp_add_header(headers, name.c_str(), value.c_str());
-        evhttp_add_header(headers, "Host", m_server.text().c_str());
-        if (!m_request.body.empty())
-            evbuffer_add(evhttp_request_get_output_buffer(message), m_request.body.data(), m_request.body.size());
-        const evhttp_cmd_type command = toCommand(m_request.method);
-        if (evhttp_make_request(m_connection->handle, message, command, m_request.target.c_str()) == 0) {
-            writeEarly(evhttp_connection_get_bufferevent(m_connection->handle));
+        if (m_connection->connectFailed()) {
+            finishLater(exchange_failure::ConnectFailed);
             return;
         }
-        finishLater(exchange_failure::ConnectFailed);
+        m_connection->send(*this, m_request, m_options);
     }
 
     void onTimer()
     {
-        if (m_connection->bytesSent == 0) {
-            finish(exchange_failure::ConnectFailed, closing::Now);
+        if (m_connection->bytesSent() == 0) {
+            finish(exchange_failure::ConnectFailed);
             return;
         }
         const duration rest = m_options.timeout - m_options.connectTimeout;
         if (m_connectTimePassed || rest.count() <= 0) {
-            finish(exchange_failure::TimedOut, closing::Now);
+            finish(exchange_failure::TimedOut);
             return;
         }
         m_connectTimePassed = true;
         m_deadline.startOnce(rest);
     }
 
-    void onHead(evhttp_request* message)
+    void onHead(int status, const http_headers& headers) override
     {
-        constexpr int firstFinalStatus = 200;
-        const int status = evhttp_request_get_response_code(message);
-        if (status < firstFinalStatus)
-            return;
         m_responseStarted = true;
-        m_request = {};
-        m_listener.onHead(status, copyHeaders(*evhttp_request_get_input_headers(message)));
+        m_listener.onHead(status, headers);
     }
 
-    void onChunk(evhttp_request* message)
+    void onBody(std::string_view bytes) override
     {
-        evbuffer* input = evhttp_request_get_input_buffer(message);
-        const size_t length = evbuffer_get_length(input);
-        if (length == 0 || m_finished)
+        if (m_finished)
             return;
-        m_bodyBytes += length;
+        m_bodyBytes += bytes.size();
         if (m_bodyBytes > m_options.maximumBodyBytes) {
+            m_finished = true;
             finishLater(exchange_failure::ResponseTooLarge);
             return;
         }
-        const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
-        m_listener.onData({ bytes, length });
+        m_listener.onData(bytes);
     }
 
-    void onDone(evhttp_request* message)
+    void onComplete() override
     {
-        if (!message || evhttp_request_get_response_code(message) == 0) {
-            const bool sent = m_connection->bytesSent > 0;
-            if (m_failure == exchange_failure::None || !sent)
-                m_failure = sent ? exchange_failure::ConnectionLost : exchange_failure::ConnectFailed;
-            if (m_failure == exchange_failure::ConnectionLost && maySendAgain())
-                sendAgain();
-            else
-                finish(m_failure, closing::Later);
-            return;
-        }
-        const char* connectionHeader = evhttp_find_header(evhttp_request_get_input_headers(message), "Connection");
-        const bool close = connectionHeader && evutil_ascii_strcasecmp(connectionHeader, "close") == 0;
-        // Body bytes that evhttp did not hand over chunk by chunk.
-        const auto alive = m_alive;
-        onChunk(message);
-        if (!*alive)
-            return;
-        const bool keep = !close && !m_closeAfterwards && !m_options.freshConnection;
-        finish(exchange_failure::None, keep ? closing::Keep : closing::Later);
-    }
-
-    bool maySendAgain() const
-    {
-        return m_options.repeatable && m_connection->usedBefore && !m_responseStarted && !m_options.freshConnection;
+        if (!m_finished)
+            finish(exchange_failure::None);
     }
 
-    void sendAgain()
+    void onBroken(exchange_failure failure, bool refused) override
     {
-        abandon(false);
-        m_finished = false;
-        m_failure = exchange_failure::None;
-        m_connection = m_pool->open(m_server);
-        send();
+        m_refused = refused;
+        const bool sent = m_connection->bytesSent() > 0;
+        if (failure == exchange_failure::ConnectionLost && !sent)
+            failure = exchange_failure::ConnectFailed;
+        const bool again = failure == exchange_failure::ConnectionLost && m_options.repeatable
+            && m_connection->usedBefore() && !m_responseStarted;
+        if (again) {
+            m_connection = m_pool->open(m_server);
+            send();
+            return;
+        }
+        finish(failure);
     }
 
     void finishLater(exchange_failure failure)
     {
         m_pool->loop.post([this, failure, alive = m_alive] {
-            if (*alive)
-                finish(failure, closing::Now);
+            if (!*alive)
+                return;
+            m_finished = false;
+            finish(failure);
         });
     }
 
-    // What becomes of the connection. Inside an evhttp callback it must not be freed, only later from the loop.
-    enum class closing { Keep, Now, Later };
-
-    void finish(exchange_failure failure, closing how)
+    void finish(exchange_failure failure)
     {
-        if (m_finished)
-            return;
         m_finished = true;
         m_deadline.stop();
-        const exchange_result result { failure, m_connection->bytesSent > 0, m_responseStarted };
-        if (how == closing::Keep) {
-            m_connection->exchange = nullptr;
-            m_pool->put(m_server, std::exchange(m_connection, nullptr));
-        } else {
-            abandon(how == closing::Now);
-        }
+        const exchange_result result { failure, m_connection->bytesSent() > 0, m_responseStarted, m_refused };
+        const auto connection = std::exchange(m_connection, nullptr);
+        if (failure != exchange_failure::None || m_closeAfterwards)
+            connection->close();
+        else if (connection->release())
+            m_pool->put(connection);
         m_listener.onFinished(result);
     }
 
-    // Gives up the connection. Freeing it also frees a request that is still queued on it, without a callback.
-    void abandon(bool now)
-    {
-        m_finished = true;
-        if (!m_connection)
-            return;
-        pooled_connection* connection = std::exchange(m_connection, nullptr);
-        connection->exchange = nullptr;
-        if (now)
-            pool::destroy(connection);
-        else
-            m_pool->loop.post([connection] { pool::destroy(connection); });
-    }
-
     std::shared_ptr<pool> m_pool;
     endpoint m_server;
     http_request m_request;
@@ -349,12 +482,12 @@
     exchange_listener& m_listener;
     timer m_deadline;
     std::shared_ptr<bool> m_alive;
-    pooled_connection* m_connection = nullptr;
-    exchange_failure m_failure = exchange_failure::None;
+    std::shared_ptr<connection> m_connection;
     size_t m_bodyBytes = 0;
     bool m_connectTimePassed = false;
     bool m_closeAfterwards = false;
     bool m_responseStarted = false;
+    bool m_refused = false;
     bool m_finished = false;
 };
 
@@ -409,7 +542,7 @@
 std::unique_ptr<exchange> http_client::start(
     const endpoint& server, http_request request, exchange_options options, exchange_listener& listener)
 {
-    return std::make_unique<evhttp_exchange>(m_pool, server, std::move(request), options, listener);
+    return std::make_unique<pooled_exchange>(m_pool, server, std::move(request), options, listener);
 }
 
 void http_client::fetch(const endpoint& server, http_request request, exchange_options options, fetch_callback callback)
@@ -418,4 +551,6 @@
     fetch->own(start(server, std::move(request), options, *fetch));
 }
 
+void http_client::forget(const endpoint& server) { m_pool->forget(server); }
+
 } // namespace pollen
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -1,321 +1,511 @@
 #include <http/http_server.h>
 
 #include "early_write.h"
-#include "header_list.h"
+#include "header_text.h"
+#include "message_parser.h"
+#include <algorithm>
 #include <base/error.h>
 #include <base/socket_address.h>
-#include <cassert>
 #include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/http.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <set>
+#include <strings.h>
 
 namespace pollen {
 
 namespace {
 
-const char* methodText(evhttp_cmd_type command)
+// Connections that may wait to be accepted. A burst of callers overflows the default of 128; those left over would try
+// again only after a second.
+constexpr int listenBacklog = 4096;
+
+// Bytes of a pipelined request that are read ahead while the request before it is answered.
+constexpr size_t readAheadBytes = 64U << 10;
+
+// How long bytes of a caller that is being refused are discarded, so that a reset does not overtake the answer.
+constexpr duration lingerTime = std::chrono::seconds(1);
+
+constexpr int statusNoContent = 204;
+constexpr int statusNotModified = 304;
+
+struct refusal {
+    int status;
+    const char* type;
+};
+
+refusal refusalOf(parse_state state)
 {
-    switch (command) {
-    case EVHTTP_REQ_GET:
-        return "GET";
-    case EVHTTP_REQ_POST:
-        return "POST";
-    case EVHTTP_REQ_HEAD:
-        return "HEAD";
-    case EVHTTP_REQ_PUT:
-        return "PUT";
-    case EVHTTP_REQ_DELETE:
-        return "DELETE";
-    case EVHTTP_REQ_OPTIONS:
-        return "OPTIONS";
-    case EVHTTP_REQ_PATCH:
-        return "PATCH";
+    switch (state) {
+    case parse_state::HeaderTooLarge:
+        return { 431, "header_too_large" };
+    case parse_state::BodyTooLarge:
+        return { 413, "body_too_large" };
     default:
-        return "OTHER";
+        return { 400, "malformed_request" };
     }
 }
 
-// Connections that may wait to be accepted. evhttp's own listener takes 128, which a burst of callers overflows; those
-// left over would try again only after a second.
-constexpr int listenBacklog = 4096;
+bool hasNoBody(int status) { return status == statusNoContent || status == statusNotModified; }
 
-// Null with errno set when the address cannot be used.
-evhttp_bound_socket* bindListener(event_base* base, evhttp* http, const endpoint& listenAddress)
+const char* reasonOf(int status)
 {
-    socket_address address = toSocketAddress(listenAddress);
-    constexpr unsigned flags = LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_CLOSE_ON_FREE;
-    evconnlistener* listener = evconnlistener_new_bind(
-        base, nullptr, nullptr, flags, listenBacklog, address.get(), static_cast<int>(address.length));
-    return listener ? evhttp_bind_listener(http, listener) : nullptr;
-}
-
-http_request readRequest(evhttp_request* message)
-{
-    http_request request;
-    request.method = methodText(evhttp_request_get_command(message));
-    request.target = evhttp_request_get_uri(message);
-    request.headers = copyHeaders(*evhttp_request_get_input_headers(message));
-    evbuffer* input = evhttp_request_get_input_buffer(message);
-    request.body.resize(evbuffer_get_length(input));
-    evbuffer_remove(input, request.body.data(), request.body.size());
-    return request;
+    switch (status) {
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 404:
+        return "Not Found";
+    case 408:
+        return "Request Timeout";
+    case 429:
+        return "Too Many Requests";
+    case 500:
+        return "Internal Server Error";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
 }
 
 } // namespace
 
 struct http_server::details {
+    details(event_loop& eventLoop, const http_server_limits& serverLimits, http_server::handler requestHandler)
+        : loop(eventLoop)
+        , limits(serverLimits)
+        , handler(std::move(requestHandler))
+    {
+    }
+
     event_loop& loop;
-    evhttp* http = nullptr;
-    evhttp_bound_socket* listener = nullptr;
-    evbuffer* scratch = nullptr;
-    endpoint address;
+    http_server_limits limits;
     http_server::handler handler;
+    evconnlistener* listener = nullptr;
+    endpoint address;
     bool closing = false;
-    std::set<evhttp_server_request*> open;
+    size_t openRequests = 0;
+    std::set<std::shared_ptr<connection>> connections;
 };
 
-class http_server::evhttp_server_request final : public server_request,
-                                                 public std::enable_shared_from_this<evhttp_server_request> {
+// The handler's view of one request; cut off from its connection when the response is complete or the caller has gone.
+class http_server::connection_request final : public server_request {
 public:
-    evhttp_server_request(details& server, evhttp_request* message)
-        : m_server(&server)
-        , m_message(message)
-        , m_connection(evhttp_request_get_connection(message))
-        , m_request(readRequest(message))
+    connection_request(connection* connection, http_request request, std::string callerAddress)
+        : m_connection(connection)
+        , m_request(std::move(request))
+        , m_callerAddress(std::move(callerAddress))
     {
-        char* address = nullptr;
-        ev_uint16_t port = 0;
-        evhttp_connection_get_peer(m_connection, &address, &port);
-        m_callerAddress = address ? address : "";
-        server.open.insert(this);
-        watchHangUp();
     }
-
-    ~evhttp_server_request() override
+    ~connection_request() override
     {
-        if (m_message)
-            abort();
+        if (m_connection)
+            connection_request::abort();
     }
 
     const http_request& request() const override { return m_request; }
     const std::string& callerAddress() const override { return m_callerAddress; }
+    void reply(int status, const http_headers& headers, std::string_view body) override;
+    void startStream(int status, const http_headers& headers) override;
+    void sendPart(std::string_view bytes) override;
+    void endStream() override;
+    void abort() override;
+    size_t unsentBytes() const override;
+    void setHangUpCallback(std::function<void()> callback) override { m_onHangUp = std::move(callback); }
+    void callWhenSent(std::function<void()> callback) override { m_onSent = std::move(callback); }
 
-    void reply(int status, const http_headers& headers, std::string_view body) override
+    // Cuts the request off from its connection and hands out its callbacks, which may hold what holds this request.
+    void detach(event_loop& loop)
     {
-        if (!m_message)
+        m_connection = nullptr;
+        if (m_onHangUp || m_onSent)
+            loop.post([hangUp = std::move(m_onHangUp), sent = std::move(m_onSent)] {});
+        m_onHangUp = nullptr;
+        m_onSent = nullptr;
+    }
+
+    std::function<void()> takeHangUp() { return std::exchange(m_onHangUp, nullptr); }
+
+    void reportSent()
+    {
+        const auto callback = std::exchange(m_onSent, nullptr);
+        if (callback)
+            callback();
+    }
+
+private:
+    connection* m_connection;
+    http_request m_request;
+    std::string m_callerAddress;
+    std::function<void()> m_onHangUp;
+    std::function<void()> m_onSent;
+};
+
+class http_server::connection final : public std::enable_shared_from_this<connection>, private message_events {
+public:
+    connection(const std::shared_ptr<details>& server, evutil_socket_t socket, std::string callerAddress)
+        : m_server(server)
+        , m_loop(server->loop)
+        , m_callerAddress(std::move(callerAddress))
+        , m_events(bufferevent_socket_new(m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE))
+        , m_timer(m_loop, [this] { onTimeout(); })
+    {
+        const int enabled = 1;
+        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+        const auto onRead = [](bufferevent*, void* self) { static_cast<connection*>(self)->process(); };
+        const auto onWritten = [](bufferevent*, void* self) { static_cast<connection*>(self)->onDrained(); };
+        const auto onEvent = [](bufferevent*, short what, void* self) {
+            if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+                static_cast<connection*>(self)->onCallerGone();
+        };
+        bufferevent_setcb(m_events, onRead, onWritten, onEvent, this);
+        bufferevent_setwatermark(m_events, EV_READ, 0, readAheadBytes);
+        bufferevent_enable(m_events, EV_READ | EV_WRITE);
+        m_timer.startOnce(server->limits.idleTimeout);
+    }
+    ~connection() override
+    {
+        if (m_events)
+            bufferevent_free(m_events);
+    }
+
+    bool isIdle() const { return !m_busy && !m_closed && !m_finishing && !(m_parser && m_parser->started()); }
+
+    size_t unsentBytes() const { return m_closed ? 0 : evbuffer_get_length(bufferevent_get_output(m_events)); }
+
+    void reply(int status, const http_headers& headers, std::string_view body)
+    {
+        if (m_closed)
             return;
-        addHeaders(headers);
-        evbuffer_add(m_server->scratch, body.data(), body.size());
-        evhttp_request* message = release();
-        bufferevent* events = evhttp_connection_get_bufferevent(m_connection);
-        evhttp_send_reply(message, status, nullptr, m_server->scratch);
-        writeEarly(events);
-        evbuffer_drain(m_server->scratch, evbuffer_get_length(m_server->scratch));
-        dropCallbacks();
+        writeHead(status, headers, true, body.size());
+        if (m_method != "HEAD" && !hasNoBody(status))
+            bufferevent_write(m_events, body.data(), body.size());
+        writeEarly(m_events);
+        completeResponse();
     }
 
-    void startStream(int status, const http_headers& headers) override
+    void startStream(int status, const http_headers& headers)
     {
-        if (!m_message)
+        if (m_closed)
             return;
-        addHeaders(headers);
-        evhttp_send_reply_start(m_message, status, nullptr);
+        writeHead(status, headers, false, 0);
+        writeEarly(m_events);
     }
 
-    void sendPart(std::string_view bytes) override
+    void sendPart(std::string_view bytes)
     {
-        if (!m_message || bytes.empty())
+        if (m_closed || bytes.empty() || m_method == "HEAD")
             return;
-        evbuffer_add(m_server->scratch, bytes.data(), bytes.size());
-        const auto onSent
-            = [](evhttp_connection*, void* self) { static_cast<evhttp_server_request*>(self)->reportSent(); };
-        evhttp_send_reply_chunk_with_cb(m_message, m_server->scratch, onSent, this);
+        evbuffer* output = bufferevent_get_output(m_events);
+        evbuffer_add_printf(output, "%zx\r\n", bytes.size());
+        evbuffer_add(output, bytes.data(), bytes.size());
+        evbuffer_add(output, "\r\n", 2);
+        m_timer.startOnce(m_server.expired() ? lingerTime : m_idleTimeout);
+        writeEarly(m_events);
     }
 
-    void endStream() override
+    void endStream()
     {
-        if (!m_message)
+        if (m_closed)
             return;
-        evhttp_request* message = release();
-        evhttp_send_reply_end(message);
-        dropCallbacks();
+        if (m_method != "HEAD")
+            bufferevent_write(m_events, "0\r\n\r\n", 5);
+        writeEarly(m_events);
+        completeResponse();
     }
 
-    void abort() override
+    // Closes the socket from the loop, outside the callbacks of its bufferevent.
+    void close()
     {
-        closeConnection();
-        dropCallbacks();
+        if (m_closed)
+            return;
+        m_closed = true;
+        m_timer.stop();
+        if (m_parser)
+            m_parser->stop();
+        bufferevent_setcb(m_events, nullptr, nullptr, nullptr, nullptr);
+        bufferevent_disable(m_events, EV_READ | EV_WRITE);
+        detachRequest();
+        const auto self = shared_from_this();
+        if (const auto server = m_server.lock())
+            server->connections.erase(self);
+        m_loop.post([self] { bufferevent_free(std::exchange(self->m_events, nullptr)); });
     }
 
-    size_t unsentBytes() const override
+private:
+    // Reads the next request from what has arrived.
+    void process()
     {
-        if (!m_message)
-            return 0;
-        return evbuffer_get_length(bufferevent_get_output(evhttp_connection_get_bufferevent(m_connection)));
+        const auto self = shared_from_this();
+        while (!m_closed && !m_busy) {
+            evbuffer* input = bufferevent_get_input(m_events);
+            if (m_finishing) {
+                evbuffer_drain(input, evbuffer_get_length(input));
+                return;
+            }
+            if (evbuffer_get_length(input) == 0 || !readRequest(input))
+                return;
+        }
     }
 
-    void setHangUpCallback(std::function<void()> callback) override { m_onHangUp = std::move(callback); }
-    void callWhenSent(std::function<void()> callback) override { m_onSent = std::move(callback); }
+    // False when more bytes are needed or the connection is being closed.
+    bool readRequest(evbuffer* input)
+    {
+        const auto server = m_server.lock();
+        if (!server)
+            return false;
+        if (!m_parser) {
+            m_body.clear();
+            m_idleTimeout = server->limits.idleTimeout;
+            m_parser.emplace(static_cast<message_events&>(*this), server->limits.maximumHeaderBytes,
+                server->limits.maximumBodyBytes);
+            m_timer.startOnce(server->limits.headerTimeout);
+        }
+        const parse_state state = m_parser->feed(input);
+        if (state == parse_state::NeedsMore) {
+            if (m_parser->headComplete())
+                m_timer.startOnce(m_idleTimeout);
+            return false;
+        }
+        if (state != parse_state::Complete) {
+            refuse(refusalOf(state));
+            return false;
+        }
+        m_timer.stop();
+        m_method = m_parser->method();
+        m_keepAlive = m_parser->keepAlive();
+        http_request request { m_method, m_parser->target(), std::move(m_parser->headers()), std::move(m_body) };
+        m_parser.reset();
+        m_body.clear();
+        ++server->openRequests;
+        m_counted = true;
+        const auto current = std::make_shared<connection_request>(this, std::move(request), m_callerAddress);
+        m_busy = true;
+        m_current = current;
+        server->handler(current);
+        return true;
+    }
 
-    // The connection is going down. A request that evhttp has taken off the connection is freed here.
-    void forget()
+    void onMessageHead() override
     {
-        const auto self = shared_from_this();
-        evhttp_request* message = release();
-        if (message && !evhttp_request_get_connection(message))
-            evhttp_request_free(message);
-        reportHangUp();
+        const bool expects
+            = strcasecmp(std::string(findHeader(m_parser->headers(), "Expect")).c_str(), "100-continue") == 0;
+        if (expects)
+            bufferevent_write(m_events, "HTTP/1.1 100 Continue\r\n\r\n", 25);
     }
 
-private:
-    // Watches the socket for a close by the caller. evhttp does not read while a response is pending and so does not
-    // see it; reading on its behalf would make it treat a pipelined request as a fault of its own.
-    void watchHangUp()
+    void onMessageBody(std::string_view bytes) override { m_body += bytes; }
+
+    void refuse(const refusal& reason)
     {
-        const evutil_socket_t socket = bufferevent_getfd(evhttp_connection_get_bufferevent(m_connection));
-        const auto onClosed = [](evutil_socket_t, short, void* argument) {
-            const auto self = static_cast<evhttp_server_request*>(argument)->shared_from_this();
-            self->closeConnection();
-            self->reportHangUp();
-        };
-        m_closeWatch = event_new(m_server->loop.base(), socket, EV_CLOSED, onClosed, this);
-        event_add(m_closeWatch, nullptr);
-        const auto onConnectionClosed
-            = [](evhttp_connection*, void* argument) { static_cast<evhttp_server_request*>(argument)->forget(); };
-        evhttp_connection_set_closecb(m_connection, onConnectionClosed, this);
+        const std::string body = std::string("{\"error\":{\"run\":\"not_run\",\"type\":\"") + reason.type + "\"}}\n";
+        m_keepAlive = false;
+        m_method = "GET";
+        writeHead(reason.status, { { "Content-Type", "application/json" } }, true, body.size());
+        bufferevent_write(m_events, body.data(), body.size());
+        writeEarly(m_events);
+        completeResponse();
     }
 
-    void closeConnection()
+    void writeHead(int status, const http_headers& headers, bool hasLength, size_t length)
     {
-        if (!m_message)
-            return;
-        evhttp_connection* connection = m_connection;
-        release();
-        // evhttp may free the connection first, and then says so.
-        auto freed = std::make_shared<bool>(false);
-        const auto onFreed = [](evhttp_connection*, void* flag) { *static_cast<bool*>(flag) = true; };
-        evhttp_connection_set_closecb(connection, onFreed, freed.get());
-        m_server->loop.post([connection, freed] {
-            if (!*freed)
-                evhttp_connection_free(connection);
-        });
+        const auto server = m_server.lock();
+        if (!server || server->closing)
+            m_keepAlive = false;
+        evbuffer* output = bufferevent_get_output(m_events);
+        evbuffer_add_printf(output, "HTTP/1.1 %d %s\r\n", status, reasonOf(status));
+        addHeaderLines(output, headers);
+        if (!hasLength)
+            evbuffer_add_printf(output, "Transfer-Encoding: chunked\r\n");
+        else if (!hasNoBody(status))
+            evbuffer_add_printf(output, "Content-Length: %zu\r\n", length);
+        evbuffer_add_printf(output, m_keepAlive ? "\r\n" : "Connection: close\r\n\r\n");
     }
 
-    // A callback may hold what holds this request; once nothing more can happen, the loop lets go of it.
-    void dropCallbacks()
+    void completeResponse()
     {
-        if (m_onHangUp || m_onSent)
-            m_server->loop.post([hangUp = std::move(m_onHangUp), sent = std::move(m_onSent)] {});
-        m_onHangUp = nullptr;
-        m_onSent = nullptr;
+        detachRequest();
+        if (!m_keepAlive) {
+            m_finishing = true;
+            m_timer.startOnce(m_idleTimeout);
+            if (unsentBytes() == 0)
+                onDrained();
+            return;
+        }
+        m_timer.startOnce(m_idleTimeout);
+        // What was pipelined behind this request is read from the loop, not from inside the handler.
+        if (evbuffer_get_length(bufferevent_get_input(m_events)) > 0)
+            m_loop.post([self = shared_from_this()] { self->process(); });
     }
 
-    void reportHangUp()
+    void detachRequest()
     {
-        const auto callback = std::exchange(m_onHangUp, nullptr);
-        if (callback)
-            callback();
+        if (m_counted) {
+            m_counted = false;
+            if (const auto server = m_server.lock())
+                --server->openRequests;
+        }
+        m_busy = false;
+        if (const auto current = m_current.lock())
+            current->detach(m_loop);
+        m_current.reset();
     }
 
-    void reportSent()
+    void onDrained()
     {
         const auto self = shared_from_this();
-        const auto callback = std::exchange(m_onSent, nullptr);
-        if (callback)
-            callback();
+        if (m_closed || unsentBytes() > 0)
+            return;
+        if (m_busy) {
+            if (const auto current = m_current.lock())
+                current->reportSent();
+            return;
+        }
+        if (!m_finishing || m_lingering)
+            return;
+        m_lingering = true;
+        shutdown(bufferevent_getfd(m_events), SHUT_WR);
+        m_timer.startOnce(lingerTime);
     }
 
-    void addHeaders(const http_headers& headers)
+    void onCallerGone()
     {
-        evkeyvalq* output = evhttp_request_get_output_headers(m_message);
-        for (const auto& [name, value] : headers)
-            evhttp_add_header(output, name.c_str(), value.c_str());
-        if (m_server->closing)
-            evhttp_add_header(output, "Connection", "close");
+        const auto self = shared_from_this();
+        std::function<void()> hangUp;
+        if (const auto current = m_current.lock())
+            hangUp = current->takeHangUp();
+        close();
+        if (hangUp)
+            hangUp();
     }
 
-    // Stops watching and hands the evhttp request over to whoever completes it.
-    evhttp_request* release()
+    void onTimeout()
     {
-        if (!m_message)
-            return nullptr;
-        event_free(std::exchange(m_closeWatch, nullptr));
-        evhttp_connection_set_closecb(m_connection, nullptr, nullptr);
-        m_server->open.erase(this);
-        return std::exchange(m_message, nullptr);
+        if (m_busy && unsentBytes() == 0)
+            return;
+        onCallerGone();
     }
 
-    details* m_server;
-    evhttp_request* m_message;
-    evhttp_connection* m_connection;
-    http_request m_request;
+    std::weak_ptr<details> m_server;
+    event_loop& m_loop;
     std::string m_callerAddress;
-    event* m_closeWatch = nullptr;
-    std::function<void()> m_onHangUp;
-    std::function<void()> m_onSent;
+    bufferevent* m_events;
+    timer m_timer;
+    std::optional<request_parser> m_parser;
+    std::string m_body;
+    std::string m_method;
+    duration m_idleTimeout { 0 };
+    bool m_keepAlive = true;
+    bool m_counted = false;
+    bool m_closed = false;
+    // The last response is being written; nothing more is read.
+    bool m_finishing = false;
+    bool m_lingering = false;
+
+    // A request waits for its response. The handler owns it; one that it drops is aborted.
+    bool m_busy = false;
+    std::weak_ptr<connection_request> m_current;
 };
 
+void http_server::connection_request::reply(int status, const http_headers& headers, std::string_view body)
+{
+    if (m_connection)
+        m_connection->reply(status, headers, body);
+}
+
+void http_server::connection_request::startStream(int status, const http_headers& headers)
+{
+    if (m_connection)
+        m_connection->startStream(status, headers);
+}
+
+void http_server::connection_request::sendPart(std::string_view bytes)
+{
+    if (m_connection)
+        m_connection->sendPart(bytes);
+}
+
+void http_server::connection_request::endStream()
+{
+    if (m_connection)
+        m_connection->endStream();
+}
+
+void http_server::connection_request::abort()
+{
+    if (m_connection)
+        m_connection->close();
+}
+
+size_t http_server::connection_request::unsentBytes() const { return m_connection ? m_connection->unsentBytes() : 0; }
+
 http_server::http_server(
     event_loop& loop, const endpoint& listenAddress, const http_server_limits& limits, handler handler)
-    : m_details(new details { loop, nullptr, nullptr, nullptr, listenAddress, std::move(handler), false, {} })
+    : m_details(std::make_shared<details>(loop, limits, std::move(handler)))
 {
-    m_details->scratch = evbuffer_new();
-    m_details->http = evhttp_new(loop.base());
-    evhttp* http = m_details->http;
-    evhttp_set_max_headers_size(http, static_cast<ev_ssize_t>(limits.maximumHeaderBytes));
-    evhttp_set_max_body_size(http, static_cast<ev_ssize_t>(limits.maximumBodyBytes));
-    evhttp_set_timeout(
-        http, static_cast<int>(std::chrono::duration_cast<std::chrono::seconds>(limits.idleTimeout).count()));
-    evhttp_set_default_content_type(http, nullptr);
-    evhttp_set_allowed_methods(http,
-        EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS
-            | EVHTTP_REQ_PATCH);
-    const auto onRequest = [](evhttp_request* message, void* argument) {
-        auto* server = static_cast<details*>(argument);
-        const int enabled = 1;
-        const evutil_socket_t socket
-            = bufferevent_getfd(evhttp_connection_get_bufferevent(evhttp_request_get_connection(message)));
-        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
-        server->handler(std::make_shared<evhttp_server_request>(*server, message));
+    const auto onAccept = [](evconnlistener*, evutil_socket_t socket, sockaddr* from, int length, void* self) {
+        auto* server = static_cast<http_server*>(self);
+        socket_address caller;
+        caller.length = static_cast<socklen_t>(length);
+        std::copy_n(reinterpret_cast<const char*>(from), length, reinterpret_cast<char*>(&caller.storage));
+        server->m_details->connections.insert(
+            std::make_shared<connection>(server->m_details, socket, toEndpoint(caller).address));
     };
-    evhttp_set_gencb(http, onRequest, m_details.get());
-    m_details->listener = bindListener(loop.base(), http, listenAddress);
-    if (!m_details->listener) {
-        const int problem = errno;
-        evhttp_free(http);
-        evbuffer_free(m_details->scratch);
-        throw system_error("cannot listen on " + listenAddress.text(), problem);
-    }
+    socket_address address = toSocketAddress(listenAddress);
+    constexpr unsigned flags = LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_CLOSE_ON_FREE;
+    m_details->listener = evconnlistener_new_bind(
+        loop.base(), onAccept, this, flags, listenBacklog, address.get(), static_cast<int>(address.length));
+    if (!m_details->listener)
+        throw system_error("cannot listen on " + listenAddress.text(), errno);
     socket_address bound;
-    getsockname(evhttp_bound_socket_get_fd(m_details->listener), bound.get(), &bound.length);
+    getsockname(evconnlistener_get_fd(m_details->listener), bound.get(), &bound.length);
     m_details->address = toEndpoint(bound);
 }
 
 http_server::~http_server()
 {
-    const std::set<evhttp_server_request*> open = m_details->open;
-    for (evhttp_server_request* request : open)
-        request->forget();
-    evhttp_free(m_details->http);
-    evbuffer_free(m_details->scratch);
+    stopAccepting();
+    const std::set<std::shared_ptr<connection>> open = m_details->connections;
+    for (const auto& connection : open)
+        connection->close();
 }
 
 const endpoint& http_server::address() const { return m_details->address; }
 
+void http_server::setLimits(const http_server_limits& limits) { m_details->limits = limits; }
+
 void http_server::stopAccepting()
 {
     if (m_details->listener)
-        evhttp_del_accept_socket(m_details->http, std::exchange(m_details->listener, nullptr));
+        evconnlistener_free(std::exchange(m_details->listener, nullptr));
 }
 
 void http_server::setClosing(bool closing) { m_details->closing = closing; }
 
-size_t http_server::openRequests() const { return m_details->open.size(); }
+void http_server::closeIdleConnections()
+{
+    const std::set<std::shared_ptr<connection>> open = m_details->connections;
+    for (const auto& connection : open) {
+        if (connection->isIdle())
+            connection->close();
+    }
+}
+
+size_t http_server::openRequests() const { return m_details->openRequests; }
+
+size_t http_server::openConnections() const { return m_details->connections.size(); }
 
 } // namespace pollen
--- /dev/null
+++ b/libs/http/tests/hostile_message_test.cpp
@@ -0,0 +1,277 @@
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <http/http_client.h>
+#include <http/http_server.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace pollen {
+
+namespace {
+
+constexpr duration patience = std::chrono::seconds(5);
+
+// Connects a socket of the test's own to a server on this host.
+int connectTo(const endpoint& server)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(server.port);
+    inet_pton(AF_INET, server.address.c_str(), &address.sin_addr);
+    EXPECT_EQ(::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+    return socket;
+}
+
+// A server that answers each connection's first bytes with fixed bytes and then ends it in a chosen way.
+class scripted_server {
+public:
+    enum class ending { KeepOpen, Close, Reset };
+
+    scripted_server(std::string answer, ending how)
+        : m_answer(std::move(answer))
+        , m_ending(how)
+        , m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof address;
+        EXPECT_EQ(::bind(m_listener, reinterpret_cast<sockaddr*>(&address), length), 0);
+        EXPECT_EQ(::listen(m_listener, 16), 0);
+        EXPECT_EQ(::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &length), 0);
+        m_address = { "127.0.0.1", ntohs(address.sin_port) };
+    }
+    ~scripted_server()
+    {
+        for (const int socket : m_open)
+            ::close(socket);
+        ::close(m_listener);
+    }
+    scripted_server(const scripted_server&) = delete;
+    scripted_server& operator=(const scripted_server&) = delete;
+
+    const endpoint& address() const { return m_address; }
+    size_t connections() const { return m_connections; }
+
+    // Accepts and answers what has arrived; never blocks.
+    void turn()
+    {
+        const int socket = ::accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK);
+        if (socket >= 0) {
+            ++m_connections;
+            m_open.push_back(socket);
+        }
+        for (int& open : m_open)
+            answer(open);
+        std::erase(m_open, -1);
+    }
+
+private:
+    void answer(int& socket)
+    {
+        char buffer[65536];
+        const ssize_t length = ::recv(socket, buffer, sizeof buffer, MSG_DONTWAIT);
+        if (length < 0)
+            return;
+        if (length > 0)
+            ::send(socket, m_answer.data(), m_answer.size(), MSG_NOSIGNAL);
+        if (length > 0 && m_ending == ending::KeepOpen)
+            return;
+        if (m_ending == ending::Reset) {
+            const linger atOnce { 1, 0 };
+            ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+        }
+        ::close(std::exchange(socket, -1));
+    }
+
+    std::string m_answer;
+    ending m_ending;
+    int m_listener;
+    endpoint m_address;
+    std::vector<int> m_open;
+    size_t m_connections = 0;
+};
+
+using ending = scripted_server::ending;
+
+class HostileMessageTest : public testing::Test {
+protected:
+    // The sockets of the tests are not in the loop, which must turn for them to be looked at.
+    void SetUp() override { m_ticker.startRepeating(std::chrono::milliseconds(1)); }
+
+    std::pair<exchange_result, http_response> fetch(
+        scripted_server& server, const http_request& request, const exchange_options& options = {})
+    {
+        std::optional<std::pair<exchange_result, http_response>> answer;
+        m_client.fetch(
+            server.address(), request, options, [&](const exchange_result& result, const http_response& response) {
+                answer = { result, response };
+            });
+        EXPECT_TRUE(m_loop.runUntil(
+            [&] {
+                server.turn();
+                return answer.has_value();
+            },
+            patience));
+        return answer.value_or(std::pair<exchange_result, http_response> {});
+    }
+
+    event_loop m_loop;
+    timer m_ticker { m_loop, [] {} };
+    http_client m_client { m_loop };
+};
+
+const http_request get { "GET", "/", {}, "" };
+
+} // namespace
+
+TEST_F(HostileMessageTest, ReadsEachResponseOfAServerAsFarAsItIsOne)
+{
+    struct hostile_response {
+        const char* what;
+        std::string bytes;
+        ending how;
+        exchange_failure failure;
+        std::string body;
+    };
+    const exchange_failure none = exchange_failure::None;
+    const exchange_failure lost = exchange_failure::ConnectionLost;
+    const exchange_failure malformed = exchange_failure::MalformedResponse;
+    const std::vector<hostile_response> cases {
+        { "no length, ended by close", "HTTP/1.1 200 OK\r\n\r\nwhole", ending::Close, none, "whole" },
+        { "no length, ended by reset", "HTTP/1.1 200 OK\r\n\r\nwhole", ending::Reset, lost, "whole" },
+        { "shorter than its length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", ending::Close, lost, "half" },
+        { "chunks without an end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", ending::Close,
+            lost, "half" },
+        { "a chunk that breaks off", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf", ending::Close,
+            lost, "half" },
+        { "bytes behind the response", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour and more", ending::KeepOpen,
+            none, "four" },
+        { "not HTTP", "\x16\x03\x01garbage that is no answer\r\n\r\n", ending::KeepOpen, malformed, "" },
+        { "two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nfour", ending::KeepOpen,
+            malformed, "" },
+        { "a signed length", "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\nfour", ending::KeepOpen, malformed, "" },
+        { "length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            ending::KeepOpen, malformed, "" },
+        { "a bad chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", ending::KeepOpen,
+            malformed, "" },
+        { "an interim response first", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+            ending::KeepOpen, none, "ok" },
+        { "no content", "HTTP/1.1 204 No Content\r\n\r\n", ending::KeepOpen, none, "" },
+        { "an extended chunk",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;name=value\r\nok\r\n0\r\nTrailer: x\r\n\r\n",
+            ending::KeepOpen, none, "ok" },
+        { "nothing", "", ending::Close, lost, "" },
+    };
+    for (const hostile_response& response : cases) {
+        scripted_server server(response.bytes, response.how);
+        const auto [result, answer] = fetch(server, get);
+        EXPECT_EQ(result.failure, response.failure) << response.what;
+        EXPECT_EQ(answer.body, response.body) << response.what;
+    }
+}
+
+TEST_F(HostileMessageTest, AResponseToAnotherRequestIsSkipped)
+{
+    const std::string late = "HTTP/1.1 200 OK\r\nX-Id: earlier\r\nContent-Length: 5\r\n\r\nwrong";
+    const std::string own = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 5\r\n\r\nright";
+    scripted_server server(late + own, ending::KeepOpen);
+    exchange_options options;
+    options.echoHeader = "X-Id";
+    options.echoValue = "mine";
+    EXPECT_EQ(fetch(server, get, options).second.body, "right");
+    EXPECT_EQ(fetch(server, get, options).second.body, "right");
+    EXPECT_EQ(server.connections(), 2U) << "a connection on which answers crossed is not kept";
+}
+
+TEST_F(HostileMessageTest, AnAnswerBeforeTheBodyHasLeftIsReadAndTheConnectionIsNotKept)
+{
+    scripted_server server("HTTP/1.1 413 Too Large\r\nContent-Length: 3\r\n\r\nbig", ending::KeepOpen);
+    const http_request large { "POST", "/", {}, std::string(32U << 20, 'x') };
+    EXPECT_EQ(fetch(server, large).second.status, 413);
+    fetch(server, get);
+    EXPECT_EQ(server.connections(), 2U);
+}
+
+TEST_F(HostileMessageTest, AConnectionIsKeptOnlyAsLongAsTheServerSays)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+    scripted_server keeps(answer + "Keep-Alive: timeout=10\r\n\r\n", ending::KeepOpen);
+    scripted_server closes(answer + "Connection: close\r\n\r\n", ending::KeepOpen);
+    scripted_server hardlyKeeps(answer + "Keep-Alive: timeout=0\r\n\r\n", ending::KeepOpen);
+    for (scripted_server* server : { &keeps, &closes, &hardlyKeeps }) {
+        fetch(*server, get);
+        fetch(*server, get);
+    }
+    EXPECT_EQ(keeps.connections(), 1U);
+    EXPECT_EQ(closes.connections(), 2U);
+    EXPECT_EQ(hardlyKeeps.connections(), 2U);
+}
+
+TEST_F(HostileMessageTest, ARequestWithMoreThanOneReadingRunsNothing)
+{
+    size_t handled = 0;
+    http_server server(m_loop, { "127.0.0.1", 0 }, {}, [&](const std::shared_ptr<server_request>& request) {
+        ++handled;
+        request->reply(200, {}, request->request().body);
+    });
+    const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n";
+    const std::vector<std::string> requests {
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled,
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n" + smuggled,
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nContent-Length: 37\r\n\r\n" + smuggled,
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +4\r\n\r\nfour" + smuggled,
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n" + smuggled,
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, identity\r\n\r\n" + smuggled,
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n" + smuggled,
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\nx\r\n0\r\n\r\n" + smuggled,
+        "POST / HTTP/1.1\nHost: a\nContent-Length: 4\n\nfour" + smuggled,
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length : 4\r\n\r\nfour" + smuggled,
+    };
+    for (const std::string& bytes : requests) {
+        const int caller = connectTo(server.address());
+        ::send(caller, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        std::string answer;
+        m_loop.runUntil(
+            [&] {
+                char buffer[4096];
+                const ssize_t length = ::recv(caller, buffer, sizeof buffer, MSG_DONTWAIT);
+                if (length > 0)
+                    answer.append(buffer, static_cast<size_t>(length));
+                return length == 0;
+            },
+            std::chrono::milliseconds(200));
+        ::close(caller);
+        EXPECT_EQ(handled, 0U) << bytes.substr(0, 90);
+        EXPECT_EQ(answer.find(" 200 "), std::string::npos) << bytes.substr(0, 90);
+    }
+}
+
+TEST_F(HostileMessageTest, IdleConnectionsCanBeClosedWithoutHarmToBusyOnes)
+{
+    std::shared_ptr<server_request> held;
+    http_server server(
+        m_loop, { "127.0.0.1", 0 }, {}, [&](const std::shared_ptr<server_request>& request) { held = request; });
+    const int idle = connectTo(server.address());
+    const int busy = connectTo(server.address());
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    ::send(busy, request.data(), request.size(), MSG_NOSIGNAL);
+    ASSERT_TRUE(m_loop.runUntil([&] { return held && server.openConnections() == 2; }, patience));
+    server.closeIdleConnections();
+    EXPECT_EQ(server.openConnections(), 1U);
+    held->reply(200, {}, "done");
+    bool answered = false;
+    m_loop.runUntil(
+        [&] {
+            char buffer[4096];
+            answered = answered || ::recv(busy, buffer, sizeof buffer, MSG_DONTWAIT) > 0;
+            return answered;
+        },
+        patience);
+    EXPECT_TRUE(answered);
+    ::close(idle);
+    ::close(busy);
+}
+
+} // namespace pollen
