Relay requests on the users' platform

Cause: the users' platform has its own settings, store, headers and documents, and its requests are of any method and path. Chat completions and routed services of the product do not fit them.

Change: libs/relay relays a request by its route, with typed traits and outcomes, placement by prompt parts and load, repeats within a budget, continuation of resumable streams, and roll-outs judged by a sequential test over the reports of all daemons. platform/ decodes settings, documents, headers and log frames into its types. pollenrouted runs from the platform's settings file. The clock counts time while an instance is suspended.

--- a/apps/pollenrouted/main.cpp
+++ b/apps/pollenrouted/main.cpp
@@ -1,8 +1,10 @@
 #include "daemon.h"
+#include "platform_daemon.h"
 
 #include <base/error.h>
 #include <config/fleet_document.h>
 #include <cstdio>
+#include <cstdlib>
 #include <memory>
 #include <popt.h>
 #include <unistd.h>
@@ -19,6 +21,8 @@
 
 struct command_line {
     std::string config;
+    // Settings in the platform's own format; used when no other file is named.
+    std::string platformConfig;
     bool check = false;
     bool version = false;
 };
@@ -42,15 +46,30 @@
         std::fprintf(stderr, "pollenrouted: %s: %s\n", poptBadOption(context.get(), 0), poptStrerror(result));
         return false;
     }
-    line = { config ? config : "", check != 0, version != 0 };
+    line = { config ? config : "", "", check != 0, version != 0 };
     std::free(config);
-    if (!line.version && line.config.empty()) {
-        std::fprintf(stderr, "pollenrouted: --config FILE is required; see --help\n");
+    const char* nodeSettings = std::getenv(pollen::settingsVariable);
+    line.platformConfig = nodeSettings ? nodeSettings : "";
+    if (!line.version && line.config.empty() && line.platformConfig.empty()) {
+        std::fprintf(stderr, "pollenrouted: --config FILE or %s is required; see --help\n", pollen::settingsVariable);
         return false;
     }
     return true;
 }
 
+int serveOnPlatform(const command_line& line)
+{
+    const std::string& file = line.platformConfig;
+    const pollen::node_settings settings = pollen::parseNodeSettings(pollen::readFile(file), file);
+    if (line.check) {
+        std::printf("%s: settings are valid\n", file.c_str());
+        return Clean;
+    }
+    const pollen::os_clock clock;
+    pollen::json_logger logger(STDOUT_FILENO, pollen::log_level::Info, settings.id.text(), clock);
+    return pollen::platform_daemon(settings, file, logger, clock).run() ? Clean : RequestsCut;
+}
+
 int serve(const command_line& line)
 {
     const pollen::daemon_settings settings = pollen::parseDaemonSettings(pollen::readFile(line.config), line.config);
@@ -77,7 +96,7 @@
         return Clean;
     }
     try {
-        return serve(line);
+        return line.config.empty() ? serveOnPlatform(line) : serve(line);
     } catch (const pollen::settings_error& problem) {
         std::fprintf(stderr, "pollenrouted: %s\n", problem.what());
         return BadSettings;
--- a/libs/base/include/base/clock.h
+++ b/libs/base/include/base/clock.h
@@ -15,7 +15,7 @@
 public:
     virtual ~clock() = default;
 
-    // Monotonic; not affected by steps of the wall clock.
+    // Monotonic; not affected by steps of the wall clock. Time while the instance is suspended counts.
     virtual time_point now() const = 0;
 
     // Milliseconds since the Unix epoch; may step in either direction, so only for records that people read.
--- a/libs/base/src/clock.cpp
+++ b/libs/base/src/clock.cpp
@@ -1,8 +1,16 @@
 #include <base/clock.h>
 
+#include <ctime>
+
 namespace pollen {
 
-time_point os_clock::now() const { return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now()); }
+time_point os_clock::now() const
+{
+    timespec time {};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::duration_cast<duration>(
+        std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
 
 int64_t os_clock::wallMilliseconds() const
 {
--- a/libs/config/include/config/fleet_document.h
+++ b/libs/config/include/config/fleet_document.h
@@ -115,6 +115,8 @@
     endpoint address;
     std::vector<version_ref> versions;
     service_name service;
+    // Requests that it runs at once; 0 when that is not known.
+    uint32_t slots = 0;
 
     friend bool operator==(const server_entry&, const server_entry&) = default;
 };
--- a/libs/config/src/daemon_settings.cpp
+++ b/libs/config/src/daemon_settings.cpp
@@ -1,6 +1,6 @@
 #include <config/daemon_settings.h>
 
-#include "toml_section.h"
+#include <config/toml_section.h>
 
 #include <fstream>
 #include <iterator>
--- a/libs/config/src/fleet_document_reader.cpp
+++ b/libs/config/src/fleet_document_reader.cpp
@@ -1,6 +1,6 @@
 #include <config/fleet_document.h>
 
-#include "toml_section.h"
+#include <config/toml_section.h>
 
 #include <set>
 
--- a/libs/config/src/toml_section.cpp
+++ b/libs/config/src/toml_section.cpp
@@ -1,4 +1,4 @@
-#include "toml_section.h"
+#include <config/toml_section.h>
 
 #include <array>
 #include <charconv>
--- a/libs/fleet/include/fleet/server_table.h
+++ b/libs/fleet/include/fleet/server_table.h
@@ -28,6 +28,10 @@
     uint32_t ownRequests = 0;
     // Requests of other daemons, from the last load report.
     uint32_t otherRequests = 0;
+    // Prompt tokens of this daemon's requests that the server has yet to read.
+    uint64_t unreadTokens = 0;
+    // How long work takes there now, from the last load report; 1 is as usual.
+    double slowdown = 1;
     uint32_t consecutiveFailures = 0;
     // No new work before this time, after a failure.
     time_point unavailableUntil {};
@@ -51,7 +55,10 @@
 
     void addRequest(server_handle server) { ++m_rows[server.index].ownRequests; }
     void removeRequest(server_handle server);
+    void addUnreadTokens(server_handle server, uint64_t tokens) { m_rows[server.index].unreadTokens += tokens; }
+    void removeUnreadTokens(server_handle server, uint64_t tokens) { m_rows[server.index].unreadTokens -= tokens; }
     void reportLoad(server_handle server, uint32_t allRequests, bool leaving);
+    void reportSlowdown(server_handle server, double slowdown) { m_rows[server.index].slowdown = slowdown; }
     void reportSuccess(server_handle server) { m_rows[server.index].consecutiveFailures = 0; }
     // Takes the server out of choice for a time that doubles with each failure in a row. Failures while it is out count
     // with the one that took it out.
--- a/libs/gateway/include/gateway/gateway_dependencies.h
+++ b/libs/gateway/include/gateway/gateway_dependencies.h
@@ -10,7 +10,7 @@
 #include <fleet/fleet_tables.h>
 #include <gateway/decision_journal.h>
 #include <gateway/gateway_metrics.h>
-#include <gateway/retry_budget.h>
+#include <policy/retry_budget.h>
 #include <policy/route_policy.h>
 
 namespace pollen {
--- a/libs/gateway/src/caller_gateway.cpp
+++ b/libs/gateway/src/caller_gateway.cpp
@@ -79,7 +79,7 @@
     const service_name name(rest.substr(0, slash));
     std::string target = slash == std::string::npos ? "/" : rest.substr(slash);
     if (target.front() == '?')
-        target.insert(0, "/");
+        target.insert(target.begin(), '/');
     start(std::make_shared<service_exchange>(m_dependencies, request, id, name, target));
 }
 
--- /dev/null
+++ b/libs/relay/include/relay/event_splitter.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace pollen {
+
+// Cuts a stream of server-sent events at the ends of its events, and remembers the id of the last whole one.
+class event_splitter {
+public:
+    // Takes in bytes and returns the whole events that they complete.
+    std::string take(std::string_view bytes);
+
+    // What has arrived of an event that is not complete.
+    const std::string& rest() const { return m_rest; }
+    void dropRest() { m_rest.clear(); }
+
+    // Id of the last whole event; none before the first event with one.
+    std::optional<uint64_t> lastEvent() const { return m_lastEvent; }
+
+private:
+    void readId(std::string_view event);
+
+    std::string m_rest;
+    std::optional<uint64_t> m_lastEvent;
+};
+
+} // namespace pollen
--- /dev/null
+++ b/libs/relay/include/relay/placement.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <base/random_source.h>
+#include <fleet/server_table.h>
+#include <relay/relay_configuration.h>
+#include <relay/relay_protocol.h>
+#include <unordered_map>
+
+namespace pollen {
+
+// One request that needs a server.
+struct placement_request {
+    service_name service;
+    // Versions that the server may not have; empty texts exclude nothing.
+    version_name onlyVersion;
+    version_name notVersion;
+    model_name model;
+    std::vector<prompt_part> parts;
+    uint32_t promptTokens = 0;
+    // Servers that have had this request already.
+    std::vector<server_handle> excluded;
+    failure_domain_name failureDomain;
+};
+
+struct placement_choice {
+    server_handle server;
+    // Prompt tokens that the server is expected to read.
+    uint32_t unreadTokens = 0;
+    // Expected time until work on the request starts to show.
+    double waitMilliseconds = 0;
+};
+
+// Chooses servers: by expected time to the first token on engines, by load on plain services. Remembers which prompt
+// parts it has sent where.
+class placement {
+public:
+    explicit placement(random_source& random)
+        : m_random(random)
+    {
+    }
+
+    // None when no server may take the request now.
+    std::optional<placement_choice> choose(
+        const placement_request& request, const server_table& servers, const relay_service& service, time_point now);
+
+    // The server has been sent these parts.
+    void remember(const instance_id& server, const placement_request& request, uint64_t cacheTokens);
+    void forget(const instance_id& server) { m_memories.erase(server); }
+
+private:
+    // What a server is believed to remember of prompts, oldest use first by counter.
+    struct server_memory {
+        struct part {
+            uint32_t tokens = 0;
+            uint64_t lastUse = 0;
+        };
+        std::unordered_map<uint64_t, part> parts;
+        uint64_t tokens = 0;
+        uint64_t uses = 0;
+    };
+
+    uint32_t rememberedTokens(const instance_id& server, const placement_request& request) const;
+    static bool fits(const server_row& row, const placement_request& request);
+
+    random_source& m_random;
+    std::unordered_map<instance_id, server_memory> m_memories;
+};
+
+} // namespace pollen
--- /dev/null
+++ b/libs/relay/include/relay/relay_dependencies.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <base/logger.h>
+#include <base/random_source.h>
+#include <http/http_client.h>
+#include <map>
+#include <policy/retry_budget.h>
+#include <relay/crash_watch.h>
+#include <relay/log_budget.h>
+#include <relay/placement.h>
+#include <relay/relay_metrics.h>
+#include <relay/relay_protocol.h>
+#include <relay/relay_state.h>
+#include <relay/rollout_system.h>
+#include <relay/session_versions.h>
+
+namespace pollen {
+
+// What the relaying of a request needs; all of it outlives every request.
+struct relay_dependencies {
+    event_loop& loop;
+    const clock& time;
+    random_source& random;
+    logger& log;
+    http_client& client;
+    const relay_protocol& protocol;
+    failure_domain_name failureDomain;
+    relay_state& state;
+    rollout_table& rollouts;
+    rollout_system& rolloutSystem;
+    session_versions& sessions;
+    placement& servers;
+    crash_watch& crashes;
+    retry_budget& retries;
+    relay_metrics& metrics;
+    log_budget& logBudget;
+    log_budget& failureLogBudget;
+    // Usual time to the first byte, by route, in milliseconds; of versions that are not being rolled out.
+    std::map<std::string, double>& usualLatency;
+};
+
+} // namespace pollen
--- /dev/null
+++ b/libs/relay/include/relay/rollout_table.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <relay/rollout.h>
+#include <set>
+#include <vector>
+
+namespace pollen {
+
+// A roll-out as this daemon knows it.
+struct rollout_row {
+    rollout_order order;
+    // When this daemon first saw the order.
+    time_point since {};
+    rollout_state state = rollout_state::Running;
+    // The answers of all daemons show that the new version is bad; it gets nothing more.
+    bool condemned = false;
+    // Share of new sessions that go to the new version, 0 to 1.
+    double share = 0;
+    // Sessions of the old version may move to the new one.
+    bool moving = false;
+    version_answers targetAnswers;
+    version_answers otherAnswers;
+    uint64_t othersRunning = 0;
+};
+
+// Roll-outs by service.
+class rollout_table {
+public:
+    // Takes in an order; a repeated one changes nothing.
+    void order(const rollout_order& order, time_point now);
+    void status(const rollout_status& status);
+
+    // Null when no roll-out of the service is known.
+    rollout_row* find(const service_name& service);
+    const rollout_row* find(const service_name& service) const;
+
+    std::map<service_name, rollout_row>& rows() { return m_rows; }
+    const std::map<service_name, rollout_row>& rows() const { return m_rows; }
+
+private:
+    std::map<service_name, rollout_row> m_rows;
+    // States that became known before their order.
+    std::map<service_name, rollout_status> m_statuses;
+};
+
+} // namespace pollen
--- /dev/null
+++ b/libs/relay/src/relay_exchange.cpp
@@ -0,0 +1,450 @@
+#include "relay_exchange.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace pollen {
+
+namespace {
+
+constexpr duration connectTimeout = std::chrono::milliseconds(400);
+// A call that must not run twice goes over a kept connection only when that was in use a moment ago.
+constexpr duration freshIdle = std::chrono::milliseconds(1000);
+constexpr duration longestIdle = std::chrono::seconds(4);
+// Bytes waiting for a slow caller above which reading from the server pauses.
+constexpr size_t streamBufferBytes = 256U << 10;
+// The shortest time that is worth sending a request for.
+constexpr duration shortestSend = std::chrono::milliseconds(5);
+constexpr duration defaultDeadline = std::chrono::seconds(30);
+constexpr duration retryAfterNotReady = std::chrono::milliseconds(800);
+constexpr duration retryAfterFull = std::chrono::milliseconds(400);
+constexpr duration retryAfterSuspect = std::chrono::seconds(60);
+constexpr double usualLatencyWeight = 0.05;
+// An answer is slow when its first byte takes so many times as long as usual.
+constexpr double slowFactor = 3;
+constexpr double readMillisecondsPerToken = 1.0 / 16;
+constexpr double baseMilliseconds = 50;
+
+constexpr int statusOk = 200;
+constexpr int firstServerError = 500;
+constexpr int statusUnauthorized = 401;
+constexpr int statusNotFound = 404;
+constexpr int statusBadRequest = 400;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
+
+uint64_t hashOf(std::string_view text) { return XXH64(text.data(), text.size(), 0); }
+
+// A number from 0 up to 1 that is the same for the same text in every daemon.
+double pointOf(uint64_t hash) { return static_cast<double>(hash >> 11) / static_cast<double>(uint64_t { 1 } << 53); }
+
+} // namespace
+
+relay_exchange::relay_exchange(relay_dependencies& dependencies, std::shared_ptr<server_request> request)
+    : m_dependencies(dependencies)
+    , m_request(std::move(request))
+    , m_start(dependencies.time.now())
+{
+}
+
+relay_exchange::~relay_exchange() { releaseServer(); }
+
+void relay_exchange::start(std::function<void()> onEnd)
+{
+    m_onEnd = std::move(onEnd);
+    m_traits = m_dependencies.protocol.readRequest(m_request->request());
+    if (!admit())
+        return;
+    m_request->setHangUpCallback([self = shared_from_this()] { self->onCallerGone(); });
+    attempt();
+}
+
+// Finds the route and the team. False when the request has been answered.
+bool relay_exchange::admit()
+{
+    const time_point now = m_start;
+    m_configuration = m_dependencies.state.configuration();
+    if (!m_configuration || !m_dependencies.state.serversKnown()) {
+        refuse(statusUnavailable, "no_configuration", retryAfterNotReady);
+        return false;
+    }
+    const http_request& request = m_request->request();
+    const std::string host(findHeader(request.headers, "Host"));
+    m_route = m_configuration->findRoute(host, targetPath(request.target));
+    if (!m_route) {
+        refuse(statusNotFound, "unknown_route");
+        return false;
+    }
+    if (m_traits.id.empty()) {
+        refuse(statusBadRequest, "no_request_id");
+        return false;
+    }
+    if (m_configuration->configuration().teams && !m_route->isPublic) {
+        if (m_dependencies.state.keysOutdated(now)) {
+            refuse(statusUnavailable, "keys_outdated", retryAfterNotReady);
+            return false;
+        }
+        m_team = m_configuration->findTeam(m_traits.key);
+        if (!m_team) {
+            refuse(statusUnauthorized, "unknown_key");
+            return false;
+        }
+    }
+    const duration callerTime = m_traits.timeLeft.value_or(defaultDeadline);
+    m_deadline = now + std::min(callerTime, m_route->timeout.count() > 0 ? m_route->timeout : callerTime);
+    m_fingerprint = hashOf(m_traits.key) ^ hashOf(request.target) * 3 ^ hashOf(request.body) * 7;
+    if (m_dependencies.crashes.isSuspect(m_fingerprint, now)) {
+        refuse(statusUnavailable, "request_breaks_servers", retryAfterSuspect);
+        return false;
+    }
+    m_dependencies.retries.onRequest();
+    return true;
+}
+
+duration relay_exchange::timeLeft() const { return m_deadline - m_dependencies.time.now(); }
+
+uint64_t relay_exchange::sessionKey() const
+{
+    if (!m_traits.session.empty())
+        return hashOf(m_traits.session);
+    if (!m_traits.parts.empty())
+        return m_traits.parts.back().id;
+    return hashOf(m_traits.id.text());
+}
+
+void relay_exchange::chooseVersion(placement_request& request) const
+{
+    const rollout_row* row = m_dependencies.rollouts.find(request.service);
+    if (!row)
+        return;
+    const version_name& target = row->order.target;
+    switch (row->state) {
+    case rollout_state::Complete:
+        request.onlyVersion = target;
+        return;
+    case rollout_state::RolledBack:
+        request.notVersion = target;
+        return;
+    case rollout_state::Running:
+        break;
+    }
+    if (row->condemned) {
+        request.notVersion = target;
+        return;
+    }
+    const uint64_t session = sessionKey();
+    const auto last = m_dependencies.sessions.find(session, m_start);
+    bool onTarget = pointOf(hashOf({ reinterpret_cast<const char*>(&session), sizeof session })) < row->share;
+    if (last)
+        onTarget = *last == target || (row->moving && onTarget);
+    (onTarget ? request.onlyVersion : request.notVersion) = target;
+}
+
+placement_request relay_exchange::makePlacementRequest()
+{
+    placement_request request;
+    uint32_t total = 0;
+    for (const route_target& target : m_route->targets)
+        total += target.weight;
+    auto point = static_cast<uint32_t>(pointOf(hashOf(m_traits.id.text())) * total);
+    for (const route_target& target : m_route->targets) {
+        request.service = target.service;
+        if (point < target.weight)
+            break;
+        point -= target.weight;
+    }
+    if (m_traits.anyModel && !m_route->models.empty())
+        request.model = m_route->models.back();
+    request.parts = m_traits.parts;
+    request.promptTokens = m_traits.promptTokens;
+    request.excluded = m_tried;
+    request.failureDomain = m_dependencies.failureDomain;
+    chooseVersion(request);
+    return request;
+}
+
+void relay_exchange::attempt()
+{
+    const time_point now = m_dependencies.time.now();
+    if (timeLeft() < shortestSend) {
+        giveUp("no_time_left");
+        return;
+    }
+    placement_request placement = makePlacementRequest();
+    const relay_service* service = m_configuration->findService(placement.service);
+    if (!service) {
+        giveUp("no_such_service");
+        return;
+    }
+    server_table& servers = m_dependencies.state.servers();
+    auto choice = m_dependencies.servers.choose(placement, servers, *service, now);
+    if (!choice && !m_tried.empty()) {
+        // Every server has had the request; a second try at one that turned it away is better than none.
+        placement.excluded.clear();
+        choice = m_dependencies.servers.choose(placement, servers, *service, now);
+    }
+    if (!choice) {
+        giveUp("no_server");
+        return;
+    }
+    if (service->engine)
+        m_dependencies.servers.remember(servers.row(choice->server).entry.id, placement, service->engine->cacheTokens);
+    send(*choice, placement);
+}
+
+void relay_exchange::send(const placement_choice& choice, const placement_request& placement)
+{
+    server_table& servers = m_dependencies.state.servers();
+    const server_row& row = servers.row(choice.server);
+    m_server = choice.server;
+    m_serverId = row.entry.id;
+    m_serverAddress = row.entry.address;
+    m_service = placement.service;
+    m_version = row.entry.versions.empty() ? version_name() : row.entry.versions.front().version;
+    m_sent = m_dependencies.time.now();
+    m_answer = {};
+    m_status = 0;
+    m_discard = false;
+    m_unreadTokens = choice.unreadTokens;
+    ++m_attempts;
+    m_tried.push_back(choice.server);
+    servers.addRequest(choice.server);
+    servers.addUnreadTokens(choice.server, m_unreadTokens);
+    m_dependencies.sessions.use(sessionKey(), m_version, m_sent);
+    const rollout_row* rollout = m_dependencies.rollouts.find(m_service);
+    m_countsAsOther = rollout && rollout->order.target != m_version;
+    if (m_countsAsOther)
+        m_dependencies.rolloutSystem.addOther(m_service);
+    m_dependencies.metrics.countSend(m_service.text());
+    send_order order;
+    order.server = m_serverId;
+    order.timeLeft = timeLeft();
+    if (m_team)
+        order.team = m_team->name;
+    order.model = placement.model;
+    order.urgency = std::clamp(m_team && m_team->priority ? *m_team->priority : m_route->priority, 0, 9);
+    if (m_streamStarted)
+        order.lastEvent = m_events.lastEvent();
+    exchange_options options;
+    options.timeout = order.timeLeft;
+    options.connectTimeout = std::min(connectTimeout, order.timeLeft);
+    options.maximumIdle = m_route->mayRepeat() ? longestIdle : freshIdle;
+    options.echoHeader = m_dependencies.protocol.requestIdHeader();
+    options.echoValue = m_traits.id.text();
+    m_exchange = m_dependencies.client.start(
+        m_serverAddress, m_dependencies.protocol.toServer(m_request->request(), order), options, *this);
+}
+
+bool relay_exchange::mayTryAgain() const { return m_attempts < m_route->maximumAttempts && timeLeft() > shortestSend; }
+
+void relay_exchange::onHead(int status, const http_headers& headers)
+{
+    m_status = status;
+    m_answer = m_dependencies.protocol.readAnswer(status, headers);
+    server_table& servers = m_dependencies.state.servers();
+    const time_point now = m_dependencies.time.now();
+    if (m_answer.load) {
+        servers.reportLoad(*m_server, m_answer.load->running + m_answer.load->waiting, false);
+        servers.reportSlowdown(*m_server, m_answer.load->slowdown);
+    }
+    servers.removeUnreadTokens(*m_server, std::exchange(m_unreadTokens, 0));
+    if (m_answer.otherInstance) {
+        servers.reportFailure(*m_server, now);
+        m_dependencies.servers.forget(m_serverId);
+    }
+    const bool notRun = m_answer.notRun || m_answer.otherInstance;
+    if (!notRun)
+        m_run = run_knowledge::MayHaveRun;
+    const bool failed = status >= firstServerError;
+    m_discard = notRun || m_streamStarted || (failed && m_route->mayRepeat() && mayTryAgain());
+    if (m_streamStarted && status == statusOk)
+        m_discard = false;
+    if (!m_discard && !m_streamStarted)
+        m_headers = m_dependencies.protocol.toCaller(headers);
+}
+
+void relay_exchange::onData(std::string_view bytes)
+{
+    if (m_discard)
+        return;
+    if (!isStreamAnswer()) {
+        m_body += bytes;
+        return;
+    }
+    const std::string events = m_events.take(bytes);
+    if (!events.empty())
+        passEvents(events);
+}
+
+void relay_exchange::passEvents(const std::string& events)
+{
+    if (!m_streamStarted) {
+        m_streamStarted = true;
+        m_dependencies.metrics.observeFirstByte(m_route->name, m_dependencies.time.now() - m_start);
+        m_request->startStream(m_status, m_headers);
+    }
+    m_request->sendPart(events);
+    if (m_paused || m_request->unsentBytes() < streamBufferBytes)
+        return;
+    m_paused = true;
+    m_exchange->pauseReading();
+    m_request->callWhenSent([self = shared_from_this()] {
+        self->m_paused = false;
+        if (self->m_exchange)
+            self->m_exchange->resumeReading();
+    });
+}
+
+void relay_exchange::onFinished(const exchange_result& result)
+{
+    const auto self = shared_from_this();
+    m_dependencies.loop.post([exchange = std::shared_ptr<exchange>(std::move(m_exchange))] {});
+    if (!result.ok()) {
+        onBroken(result);
+        return;
+    }
+    const server_handle server = *m_server;
+    releaseServer();
+    if (m_answer.notRun || m_answer.otherInstance) {
+        tryAgain("not_run");
+        return;
+    }
+    m_dependencies.state.servers().reportSuccess(server);
+    countAnswer(m_status < firstServerError);
+    if (m_discard) {
+        tryAgain("server_error");
+        return;
+    }
+    finishAnswer();
+}
+
+void relay_exchange::countAnswer(bool good)
+{
+    const double took = toSeconds(m_dependencies.time.now() - m_sent) * 1000;
+    const double normalized = took / (baseMilliseconds + m_traits.promptTokens * readMillisecondsPerToken);
+    double& usual = m_dependencies.usualLatency[m_route->name];
+    const bool slow = usual > 0 && normalized > usual * slowFactor;
+    if (good && (m_countsAsOther || !m_dependencies.rollouts.find(m_service)))
+        usual += (normalized - usual) * (usual > 0 ? usualLatencyWeight : 1);
+    m_dependencies.rolloutSystem.countAnswer(m_service, m_version, good, slow);
+}
+
+void relay_exchange::finishAnswer()
+{
+    if (isStreamAnswer() || m_streamStarted) {
+        if (!m_events.rest().empty() || !m_streamStarted)
+            passEvents(m_events.rest());
+        m_request->endStream();
+    } else {
+        m_dependencies.metrics.observeFirstByte(m_route->name, m_dependencies.time.now() - m_start);
+        m_request->reply(m_status, m_headers, m_body);
+    }
+    end(m_status < firstServerError ? "answered" : "server_error");
+}
+
+void relay_exchange::onBroken(const exchange_result& result)
+{
+    const time_point now = m_dependencies.time.now();
+    const bool timedOut = result.failure == exchange_failure::TimedOut;
+    server_table& servers = m_dependencies.state.servers();
+    servers.reportFailure(*m_server, now);
+    releaseServer();
+    m_events.dropRest();
+    m_body.clear();
+    if (result.failure != exchange_failure::ConnectFailed) {
+        m_run = run_knowledge::MayHaveRun;
+        countAnswer(false);
+        if (result.refused)
+            m_dependencies.crashes.countBreak(m_fingerprint, now);
+    }
+    if (timedOut) {
+        giveUp("timed_out");
+        return;
+    }
+    tryAgain(toText(result.failure));
+}
+
+// Goes on with another server if the request may run there, or ends.
+void relay_exchange::tryAgain(const char* reason)
+{
+    m_lastReason = reason;
+    const bool allowed = m_run == run_knowledge::NotRun || m_route->mayRepeat();
+    const bool suspect = m_dependencies.crashes.isSuspect(m_fingerprint, m_dependencies.time.now());
+    if (!allowed || suspect || !mayTryAgain() || !m_dependencies.retries.take()) {
+        giveUp(reason);
+        return;
+    }
+    attempt();
+}
+
+void relay_exchange::giveUp(const char* reason)
+{
+    m_lastReason = reason;
+    if (m_streamStarted) {
+        m_request->abort();
+        end("stream_broken");
+        return;
+    }
+    if (m_run == run_knowledge::NotRun) {
+        refuse(statusUnavailable, reason, retryAfterFull);
+        return;
+    }
+    const bool late = timeLeft() < shortestSend;
+    refuse(late ? statusGatewayTimeout : statusBadGateway, reason);
+}
+
+void relay_exchange::refuse(int status, const char* type, std::optional<duration> retryAfter)
+{
+    const char* run = m_run == run_knowledge::NotRun ? "not_run" : "unknown";
+    http_headers headers { { "Content-Type", "application/json" } };
+    if (retryAfter) {
+        // Spread, so that those who were refused together do not return together.
+        std::uniform_real_distribution<double> spread(0.5, 1.5);
+        headers.emplace_back("Retry-After", std::to_string(toSeconds(*retryAfter) * spread(m_dependencies.random)));
+    }
+    m_request->reply(status, headers, std::string("{\"error\":{\"run\":\"") + run + "\",\"type\":\"" + type + "\"}}\n");
+    m_lastReason = type;
+    end("refused");
+}
+
+void relay_exchange::onCallerGone()
+{
+    const auto self = shared_from_this();
+    m_exchange.reset();
+    releaseServer();
+    end("caller_gone");
+}
+
+void relay_exchange::releaseServer()
+{
+    if (!m_server)
+        return;
+    server_table& servers = m_dependencies.state.servers();
+    servers.removeUnreadTokens(*m_server, std::exchange(m_unreadTokens, 0));
+    servers.removeRequest(*std::exchange(m_server, std::nullopt));
+    if (m_countsAsOther)
+        m_dependencies.rolloutSystem.removeOther(m_service);
+    m_countsAsOther = false;
+}
+
+void relay_exchange::end(const std::string& outcome)
+{
+    if (!m_onEnd)
+        return;
+    const time_point now = m_dependencies.time.now();
+    m_dependencies.metrics.countOutcome(m_route ? m_route->name : "", outcome);
+    const bool good = outcome == "answered";
+    log_budget& budget = good ? m_dependencies.logBudget : m_dependencies.failureLogBudget;
+    if (budget.take(now)) {
+        m_dependencies.log.write(good ? log_level::Info : log_level::Warning, "request_ended",
+            { { "request", m_traits.id.text() }, { "route", m_route ? m_route->name : "" }, { "outcome", outcome },
+                { "reason", m_lastReason }, { "status", m_status }, { "server", m_serverId.text() },
+                { "attempts", static_cast<int64_t>(m_attempts) }, { "ms", toMilliseconds(now - m_start) },
+                { "configuration", m_configuration ? m_configuration->configuration().version : 0 } });
+    }
+    const auto onEnd = std::exchange(m_onEnd, nullptr);
+    onEnd();
+}
+
+} // namespace pollen
--- /dev/null
+++ b/libs/relay/src/relay_exchange.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <functional>
+#include <http/http_server.h>
+#include <memory>
+#include <relay/event_splitter.h>
+#include <relay/relay_dependencies.h>
+
+namespace pollen {
+
+// What has become of the work behind a request.
+enum class run_knowledge {
+    NotRun,
+    MayHaveRun,
+};
+
+// One request of a caller from its arrival to its end: finds its route, chooses servers, repeats what may be repeated
+// and passes the answer on.
+class relay_exchange final : public std::enable_shared_from_this<relay_exchange>, private exchange_listener {
+public:
+    relay_exchange(relay_dependencies& dependencies, std::shared_ptr<server_request> request);
+    ~relay_exchange() override;
+    relay_exchange(const relay_exchange&) = delete;
+    relay_exchange& operator=(const relay_exchange&) = delete;
+
+    // onEnd is called once, when nothing more will happen; possibly from inside start().
+    void start(std::function<void()> onEnd);
+
+private:
+    void onHead(int status, const http_headers& headers) override;
+    void onData(std::string_view bytes) override;
+    void onFinished(const exchange_result& result) override;
+
+    bool admit();
+    void attempt();
+    placement_request makePlacementRequest();
+    void chooseVersion(placement_request& request) const;
+    uint64_t sessionKey() const;
+    void send(const placement_choice& choice, const placement_request& placement);
+    duration timeLeft() const;
+
+    bool isStreamAnswer() const { return m_route->streaming && m_status == 200; }
+    bool mayTryAgain() const;
+    void tryAgain(const char* reason);
+    void passEvents(const std::string& events);
+    void finishAnswer();
+    void onBroken(const exchange_result& result);
+    void countAnswer(bool good);
+
+    // Ends the request with an answer of the router's own.
+    void refuse(int status, const char* type, std::optional<duration> retryAfter = {});
+    // The servers have been tried, and there is nothing to pass on.
+    void giveUp(const char* reason);
+    void onCallerGone();
+    void releaseServer();
+    void end(const std::string& outcome);
+
+    relay_dependencies& m_dependencies;
+    std::shared_ptr<server_request> m_request;
+    request_traits m_traits;
+    time_point m_start;
+    time_point m_deadline {};
+    // Keeps the route and the team alive.
+    std::shared_ptr<const indexed_configuration> m_configuration;
+    const relay_route* m_route = nullptr;
+    const relay_team* m_team = nullptr;
+    uint64_t m_fingerprint = 0;
+    std::function<void()> m_onEnd;
+
+    // The attempt that is running.
+    std::unique_ptr<exchange> m_exchange;
+    std::optional<server_handle> m_server;
+    instance_id m_serverId;
+    endpoint m_serverAddress;
+    service_name m_service;
+    version_name m_version;
+    time_point m_sent {};
+    uint32_t m_unreadTokens = 0;
+    bool m_countsAsOther = false;
+    answer_traits m_answer;
+    int m_status = 0;
+    // The answer of this attempt is not passed on.
+    bool m_discard = false;
+
+    std::vector<server_handle> m_tried;
+    uint32_t m_attempts = 0;
+    run_knowledge m_run = run_knowledge::NotRun;
+    http_headers m_headers;
+    std::string m_body;
+    event_splitter m_events;
+    bool m_streamStarted = false;
+    bool m_paused = false;
+    const char* m_lastReason = "";
+};
+
+} // namespace pollen
--- /dev/null
+++ b/libs/relay/src/relay_metrics.cpp
@@ -0,0 +1,43 @@
+#include <relay/relay_metrics.h>
+
+#include <prometheus/text_serializer.h>
+
+namespace pollen {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries latencySeconds { 0.01, 0.05, 0.1, 0.3, 1, 2, 3, 6, 12 };
+
+} // namespace
+
+relay_metrics::relay_metrics()
+    : m_outcomes(prometheus::BuildCounter()
+                     .Name("pollen_relay_requests_total")
+                     .Help("Requests by route and outcome")
+                     .Register(m_registry))
+    , m_sends(prometheus::BuildCounter()
+                  .Name("pollen_relay_sends_total")
+                  .Help("Requests sent to servers, repeats included")
+                  .Register(m_registry))
+    , m_latency(prometheus::BuildHistogram()
+                    .Name("pollen_relay_first_byte_seconds")
+                    .Help("Time to the first byte of an answer")
+                    .Register(m_registry))
+{
+}
+
+void relay_metrics::countOutcome(const std::string& route, const std::string& outcome)
+{
+    m_outcomes.Add({ { "route", route }, { "outcome", outcome } }).Increment();
+}
+
+void relay_metrics::countSend(const std::string& service) { m_sends.Add({ { "service", service } }).Increment(); }
+
+void relay_metrics::observeFirstByte(const std::string& route, duration latency)
+{
+    m_latency.Add({ { "route", route } }, latencySeconds).Observe(toSeconds(latency));
+}
+
+std::string relay_metrics::render() const { return prometheus::TextSerializer().Serialize(m_registry.Collect()); }
+
+} // namespace pollen
--- /dev/null
+++ b/libs/relay/src/rollout_system.cpp
@@ -0,0 +1,157 @@
+#include <relay/rollout_system.h>
+
+namespace pollen {
+
+namespace {
+
+constexpr duration reportInterval = std::chrono::seconds(1);
+// A daemon that has not reported for so long takes no part.
+constexpr duration reportLifetime = std::chrono::milliseconds(3500);
+constexpr duration publishInterval = std::chrono::milliseconds(500);
+// Share of new sessions that try a version before the verdict.
+constexpr double trialShare = 0.08;
+// Parts of the allowed time: sessions of the old version stay there for the first half, all have moved by the second
+// mark, and what still runs on old servers is waited for until the last one.
+constexpr double movingFrom = 0.5;
+constexpr double movedAt = 0.62;
+constexpr double waitUntil = 0.88;
+
+} // namespace
+
+rollout_system::rollout_system(
+    rollout_table& table, fleet_store& store, const instance_id& self, uint64_t incarnation, logger& log)
+    : m_table(table)
+    , m_store(store)
+    , m_self(self)
+    , m_incarnation(incarnation)
+    , m_log(log)
+    , m_publishing(std::make_shared<bool>(false))
+{
+}
+
+void rollout_system::tick(time_point now)
+{
+    bool anyRunning = false;
+    const bool reportNow = now >= m_nextReport;
+    for (auto& [service, row] : m_table.rows()) {
+        if (row.state != rollout_state::Running)
+            continue;
+        anyRunning = true;
+        if (m_countedTarget[service] != row.order.target) {
+            m_countedTarget[service] = row.order.target;
+            m_ownTarget[service] = {};
+            m_ownOthers[service] = {};
+            m_log.write(log_level::Info, "rollout_seen",
+                { { "service", service.text() }, { "target", row.order.target.text() },
+                    { "allowed_ms", toMilliseconds(row.order.allowed) } });
+        }
+        if (reportNow)
+            report(row, now);
+        addUp(row);
+        advance(row, now);
+    }
+    if (reportNow && anyRunning)
+        m_nextReport = now + reportInterval;
+    m_store.followReports(anyRunning);
+}
+
+void rollout_system::hear(const rollout_report& report, time_point now)
+{
+    m_heard[{ report.daemon, report.service }] = { report, now };
+    // A daemon that started later learns how long the roll-out has been going on.
+    rollout_row* row = m_table.find(report.service);
+    if (row && row->order.target == report.target)
+        row->since = std::min(row->since, now - report.age);
+}
+
+void rollout_system::countAnswer(const service_name& service, const version_name& version, bool good, bool slow)
+{
+    const rollout_row* row = m_table.find(service);
+    if (!row || row->state != rollout_state::Running)
+        return;
+    version_answers& answers = version == row->order.target ? m_ownTarget[service] : m_ownOthers[service];
+    ++(good ? answers.good : answers.bad);
+    if (slow)
+        ++answers.slow;
+}
+
+bool rollout_system::isLeader(const service_name& service, time_point now) const
+{
+    for (const auto& [key, heard] : m_heard) {
+        if (key.second == service && key.first < m_self && now - heard.heard < reportLifetime)
+            return false;
+    }
+    return true;
+}
+
+void rollout_system::addUp(rollout_row& row)
+{
+    const service_name& service = row.order.service;
+    version_answers target = m_ownTarget[service];
+    version_answers others = m_ownOthers[service];
+    uint64_t running = m_othersRunning[service];
+    for (const auto& [key, heard] : m_heard) {
+        const rollout_report& report = heard.report;
+        if (key.second != service || key.first == m_self || report.target != row.order.target)
+            continue;
+        target = { target.good + report.targetAnswers.good, target.bad + report.targetAnswers.bad,
+            target.slow + report.targetAnswers.slow };
+        others = { others.good + report.otherAnswers.good, others.bad + report.otherAnswers.bad,
+            others.slow + report.otherAnswers.slow };
+        running += report.othersRunning;
+    }
+    row.targetAnswers = target;
+    row.otherAnswers = others;
+    row.othersRunning = running;
+}
+
+void rollout_system::advance(rollout_row& row, time_point now)
+{
+    const double passed = toSeconds(now - row.since) / std::max(toSeconds(row.order.allowed), 1.0);
+    const rollout_verdict verdict = judgeRollout(row.targetAnswers, row.otherAnswers);
+    if (verdict == rollout_verdict::Bad && !row.condemned) {
+        row.condemned = true;
+        m_log.write(log_level::Warning, "rollout_condemned",
+            { { "service", row.order.service.text() }, { "target", row.order.target.text() },
+                { "bad", row.targetAnswers.bad }, { "slow", row.targetAnswers.slow },
+                { "answers", row.targetAnswers.all() }, { "others_bad", row.otherAnswers.bad },
+                { "others", row.otherAnswers.all() } });
+    }
+    row.moving = !row.condemned && passed >= movingFrom;
+    row.share = row.condemned ? 0 : row.moving ? 1 : trialShare;
+    if (row.condemned)
+        publish(row, rollout_state::RolledBack, now);
+    else if (passed >= movedAt && (row.othersRunning == 0 || passed >= waitUntil))
+        publish(row, rollout_state::Complete, now);
+}
+
+void rollout_system::report(const rollout_row& row, time_point now)
+{
+    const service_name& service = row.order.service;
+    m_store.publishReport({ m_self, m_incarnation, service, row.order.target, now - row.since, m_ownTarget[service],
+        m_ownOthers[service], m_othersRunning[service] });
+}
+
+void rollout_system::publish(const rollout_row& row, rollout_state state, time_point now)
+{
+    if (*m_publishing || now < m_nextPublish || !isLeader(row.order.service, now))
+        return;
+    m_nextPublish = now + publishInterval;
+    *m_publishing = true;
+    const rollout_status status { row.order.service, row.order.target, state };
+    m_log.write(log_level::Info, "rollout_state_published",
+        { { "service", status.service.text() }, { "target", status.target.text() },
+            { "state", state == rollout_state::Complete ? "complete" : "rolled_back" },
+            { "bad", row.targetAnswers.bad }, { "answers", row.targetAnswers.all() },
+            { "others_running", row.othersRunning } });
+    m_store.publishRollout(status, [this, publishing = std::weak_ptr(m_publishing), status](bool stored) {
+        const auto alive = publishing.lock();
+        if (!alive)
+            return;
+        *alive = false;
+        if (stored)
+            m_table.status(status);
+    });
+}
+
+} // namespace pollen
