Ask the smallest model first and the largest when it doubts its answer

Change: a route's smallest model answers first. When its confidence is below 0.5, nothing has reached the caller and half of the latency objective is left, its run is cancelled and the largest model asked, within the retry budget.

--- a/apps/pollenrouted/platform_daemon.cpp
+++ b/apps/pollenrouted/platform_daemon.cpp
@@ -19,7 +19,7 @@
 // Keys are refused this long before the limit, so that a request on its way to a server does not pass it.
 constexpr duration revocationMargin = std::chrono::milliseconds(400);
 constexpr double retryReserve = 8;
-constexpr double retryShareOfBound = 0.5;
+constexpr double retryShareOfBound = 0.9;
 constexpr double logLinesPerSecond = 10;
 constexpr double failureLogLinesPerSecond = 50;
 
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -19,6 +19,8 @@
 constexpr duration retryAfterNotReady = std::chrono::milliseconds(800);
 constexpr duration retryAfterFull = std::chrono::milliseconds(400);
 constexpr duration retryAfterSuspect = std::chrono::seconds(60);
+// Below this confidence in its own answer, a small model's answer is dropped and the largest model asked.
+constexpr double sufficientConfidence = 0.5;
 constexpr double usualLatencyWeight = 0.05;
 // An answer is slow when its first byte takes so many times as long as usual.
 constexpr double slowFactor = 3;
@@ -155,7 +157,7 @@
         point -= target.weight;
     }
     if (m_traits.anyModel && !m_route->models.empty())
-        request.model = m_route->models.back();
+        request.model = m_route->models[m_model];
     request.parts = m_traits.parts;
     request.promptTokens = m_traits.promptTokens;
     request.excluded = m_tried;
@@ -260,10 +262,35 @@
     m_discard = notRun || m_streamStarted || (failed && m_route->mayRepeat() && mayTryAgain());
     if (m_streamStarted && status == statusOk)
         m_discard = false;
+    if (!m_discard && !m_streamStarted && shouldEscalate()) {
+        escalate();
+        return;
+    }
     if (!m_discard && !m_streamStarted)
         m_headers = m_dependencies.protocol.toCaller(headers);
 }
 
+// The model doubts its own answer, nothing of it has reached the caller, and a larger one can still answer in time.
+bool relay_exchange::shouldEscalate() const
+{
+    if (!m_traits.anyModel || m_model + 1 >= m_route->models.size() || m_status != statusOk)
+        return false;
+    if (!m_answer.confidence || *m_answer.confidence >= sufficientConfidence || !mayTryAgain())
+        return false;
+    const duration passed = m_dependencies.time.now() - m_start;
+    return passed < m_route->latencyObjective / 2 && m_dependencies.retries.take();
+}
+
+void relay_exchange::escalate()
+{
+    m_exchange.reset();
+    releaseServer();
+    m_model = m_route->models.size() - 1;
+    m_tried.clear();
+    m_lastReason = "escalated";
+    attempt();
+}
+
 void relay_exchange::onData(std::string_view bytes)
 {
     if (m_discard)
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -41,6 +41,8 @@
 
     bool isStreamAnswer() const { return m_route->streaming && m_status == 200; }
     bool mayTryAgain() const;
+    bool shouldEscalate() const;
+    void escalate();
     void tryAgain(const char* reason);
     void passEvents(const std::string& events);
     void finishAnswer();
@@ -82,6 +84,8 @@
     // The answer of this attempt is not passed on.
     bool m_discard = false;
 
+    // Index of the model that answers, among those of the route.
+    size_t m_model = 0;
     std::vector<server_handle> m_tried;
     uint32_t m_attempts = 0;
     run_knowledge m_run = run_knowledge::NotRun;
