Move sessions to a new version in the second half of a roll-out only, and close what ends while stopping

(3) trial sessions were refused while the new version had no ready server. (4) the answers between an order and the next tick were not counted.

Change: a closing server closes each connection after its answer, and the gateway refuses requests once it no longer accepts; the trial starts at half of the allowed time, all sessions move at 0.65 of it; without a server of the wanted version another one serves; counting starts with the order. Tests that failed first: AConnectionWhoseAnswerBegan..., OnlyTheFirstDaemon..., AStateThatWasNotStored...

--- a/apps/pollenrouted/platform_daemon.cpp
+++ b/apps/pollenrouted/platform_daemon.cpp
@@ -203,8 +203,10 @@
     const duration passed = p.time.now() - *p.shutdownStart;
     if (passed < balancerReaction)
         return;
-    if (std::exchange(p.accepting, false))
+    if (std::exchange(p.accepting, false)) {
         p.callerServer->stopAccepting();
+        p.gateway.refuseNewRequests();
+    }
     p.callerServer->closeIdleConnections();
     const bool idle = p.gateway.openRequests() == 0 && p.callerServer->openConnections() == 0;
     if (!idle && passed < p.settings.stopGrace - endMargin)
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -338,6 +338,9 @@
     void completeResponse()
     {
         detachRequest();
+        const auto server = m_server.lock();
+        if (!server || server->closing)
+            m_keepAlive = false;
         if (!m_keepAlive) {
             m_finishing = true;
             m_timer.startOnce(m_idleTimeout);
--- a/libs/http/tests/hostile_message_test.cpp
+++ b/libs/http/tests/hostile_message_test.cpp
@@ -248,6 +248,24 @@
     }
 }
 
+TEST_F(HostileMessageTest, AConnectionWhoseAnswerBeganBeforeTheServerClosesTakesNoFurtherRequest)
+{
+    std::vector<std::shared_ptr<server_request>> held;
+    http_server server(m_loop, { "127.0.0.1", 0 }, {},
+        [&](const std::shared_ptr<server_request>& request) { held.push_back(request); });
+    const int caller = connectTo(server.address());
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    ::send(caller, request.data(), request.size(), MSG_NOSIGNAL);
+    ASSERT_TRUE(m_loop.runUntil([&] { return held.size() == 1; }, patience));
+    held.front()->startStream(200, {});
+    server.setClosing(true);
+    held.front()->endStream();
+    ::send(caller, request.data(), request.size(), MSG_NOSIGNAL);
+    m_loop.runUntil([&] { return server.openConnections() == 0; }, std::chrono::milliseconds(300));
+    EXPECT_EQ(held.size(), 1U);
+    ::close(caller);
+}
+
 TEST_F(HostileMessageTest, IdleConnectionsCanBeClosedWithoutHarmToBusyOnes)
 {
     std::shared_ptr<server_request> held;
--- a/libs/relay/include/relay/relay_gateway.h
+++ b/libs/relay/include/relay/relay_gateway.h
@@ -23,6 +23,9 @@
     bool ready() const;
     void setDraining() { m_draining = true; }
 
+    // From now on new requests are refused, so that those in flight can end in time.
+    void refuseNewRequests() { m_refusing = true; }
+
     // Requests that are not finished.
     size_t openRequests() const { return m_open.size(); }
 
@@ -30,6 +33,7 @@
     relay_dependencies& m_dependencies;
     std::shared_ptr<bool> m_alive;
     bool m_draining = false;
+    bool m_refusing = false;
     std::set<std::shared_ptr<relay_exchange>> m_open;
 };
 
--- a/libs/relay/include/relay/rollout_system.h
+++ b/libs/relay/include/relay/rollout_system.h
@@ -35,8 +35,10 @@
     };
 
     bool isLeader(const service_name& service, time_point now) const;
+    void beginCounting(const rollout_row& row);
     void addUp(rollout_row& row);
     void advance(rollout_row& row, time_point now);
+    static bool reportedSince(const rollout_row& row, time_point now);
     void report(const rollout_row& row, time_point now);
     void publish(const rollout_row& row, rollout_state state, time_point now);
 
--- a/libs/relay/include/relay/rollout_table.h
+++ b/libs/relay/include/relay/rollout_table.h
@@ -16,10 +16,8 @@
     rollout_state state = rollout_state::Running;
     // The answers of all daemons show that the new version is bad; it gets nothing more.
     bool condemned = false;
-    // Share of new sessions that go to the new version, 0 to 1.
+    // Share of sessions that go to the new version, 0 to 1.
     double share = 0;
-    // Sessions of the old version may move to the new one.
-    bool moving = false;
     version_answers targetAnswers;
     version_answers otherAnswers;
     uint64_t othersRunning = 0;
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -137,9 +137,8 @@
     }
     const uint64_t session = sessionKey();
     const auto last = m_dependencies.sessions.find(session, m_start);
-    bool onTarget = pointOf(hashOf({ reinterpret_cast<const char*>(&session), sizeof session })) < row->share;
-    if (last)
-        onTarget = *last == target || (row->moving && onTarget);
+    const double point = pointOf(hashOf({ reinterpret_cast<const char*>(&session), sizeof session }));
+    const bool onTarget = point < row->share || (last && *last == target);
     (onTarget ? request.onlyVersion : request.notVersion) = target;
 }
 
@@ -181,6 +180,11 @@
     }
     server_table& servers = m_dependencies.state.servers();
     auto choice = m_dependencies.servers.choose(placement, servers, *service, now);
+    if (!choice && !placement.onlyVersion.empty()) {
+        // The new version has no server that takes work yet, or no longer.
+        placement.onlyVersion = {};
+        choice = m_dependencies.servers.choose(placement, servers, *service, now);
+    }
     if (!choice && !m_tried.empty()) {
         // Every server has had the request; a second try at one that turned it away is better than none.
         placement.excluded.clear();
@@ -467,7 +471,8 @@
         m_dependencies.log.write(good ? log_level::Info : log_level::Warning, "request_ended",
             { { "request", m_traits.id.text() }, { "route", m_route ? m_route->name : "" }, { "outcome", outcome },
                 { "reason", m_lastReason }, { "status", m_status }, { "server", m_serverId.text() },
-                { "attempts", static_cast<int64_t>(m_attempts) }, { "ms", toMilliseconds(now - m_start) },
+                { "attempts", static_cast<int64_t>(m_attempts) }, { "session", m_traits.session },
+                { "parts", static_cast<int64_t>(m_traits.parts.size()) }, { "ms", toMilliseconds(now - m_start) },
                 { "configuration", m_configuration ? m_configuration->configuration().version : 0 } });
     }
     const auto onEnd = std::exchange(m_onEnd, nullptr);
--- a/libs/relay/src/relay_gateway.cpp
+++ b/libs/relay/src/relay_gateway.cpp
@@ -4,6 +4,14 @@
 
 namespace pollen {
 
+namespace {
+
+constexpr int statusUnavailable = 503;
+// Seconds; another daemon can be reached at once.
+constexpr const char* retryAfterStop = "0.05";
+
+} // namespace
+
 relay_gateway::relay_gateway(relay_dependencies& dependencies)
     : m_dependencies(dependencies)
     , m_alive(std::make_shared<bool>(true))
@@ -14,6 +22,12 @@
 
 void relay_gateway::handle(const std::shared_ptr<server_request>& request)
 {
+    if (m_refusing) {
+        request->reply(statusUnavailable, { { "Content-Type", "application/json" }, { "Retry-After", retryAfterStop } },
+            "{\"error\":{\"run\":\"not_run\",\"type\":\"stopping\"}}\n");
+        m_dependencies.metrics.countOutcome("", "stopping");
+        return;
+    }
     const auto exchange = std::make_shared<relay_exchange>(m_dependencies, request);
     m_open.insert(exchange);
     // The exchange ends inside its own code, so the loop lets go of it later.
--- a/libs/relay/src/rollout_system.cpp
+++ b/libs/relay/src/rollout_system.cpp
@@ -8,13 +8,14 @@
 // A daemon that has not reported for so long takes no part.
 constexpr duration reportLifetime = std::chrono::milliseconds(3500);
 constexpr duration publishInterval = std::chrono::milliseconds(500);
-// Share of new sessions that try a version before the verdict.
-constexpr double trialShare = 0.08;
-// Parts of the allowed time: sessions of the old version stay there for the first half, all have moved by the second
-// mark, and what still runs on old servers is waited for until the last one.
-constexpr double movingFrom = 0.5;
-constexpr double movedAt = 0.62;
-constexpr double waitUntil = 0.88;
+// Share of sessions that try a version before all of them move.
+constexpr double trialShare = 0.2;
+// Parts of the allowed time. Requests of one session reach several daemons, and none of them knows whether a session
+// began before the roll-out, so all stay on the old version for the first half. What still runs on old servers when
+// all sessions have moved is waited for until the last mark.
+constexpr double trialFrom = 0.5;
+constexpr double movingFrom = 0.65;
+constexpr double waitUntil = 0.9;
 
 } // namespace
 
@@ -37,14 +38,7 @@
         if (row.state != rollout_state::Running)
             continue;
         anyRunning = true;
-        if (m_countedTarget[service] != row.order.target) {
-            m_countedTarget[service] = row.order.target;
-            m_ownTarget[service] = {};
-            m_ownOthers[service] = {};
-            m_log.write(log_level::Info, "rollout_seen",
-                { { "service", service.text() }, { "target", row.order.target.text() },
-                    { "allowed_ms", toMilliseconds(row.order.allowed) } });
-        }
+        beginCounting(row);
         if (reportNow)
             report(row, now);
         addUp(row);
@@ -55,6 +49,20 @@
     m_store.followReports(anyRunning);
 }
 
+// Answers count from the moment at which the order is known.
+void rollout_system::beginCounting(const rollout_row& row)
+{
+    const service_name& service = row.order.service;
+    if (m_countedTarget[service] == row.order.target)
+        return;
+    m_countedTarget[service] = row.order.target;
+    m_ownTarget[service] = {};
+    m_ownOthers[service] = {};
+    m_log.write(log_level::Info, "rollout_seen",
+        { { "service", service.text() }, { "target", row.order.target.text() },
+            { "allowed_ms", toMilliseconds(row.order.allowed) } });
+}
+
 void rollout_system::hear(const rollout_report& report, time_point now)
 {
     m_heard[{ report.daemon, report.service }] = { report, now };
@@ -69,6 +77,7 @@
     const rollout_row* row = m_table.find(service);
     if (!row || row->state != rollout_state::Running)
         return;
+    beginCounting(*row);
     version_answers& answers = version == row->order.target ? m_ownTarget[service] : m_ownOthers[service];
     ++(good ? answers.good : answers.bad);
     if (slow)
@@ -117,14 +126,20 @@
                 { "answers", row.targetAnswers.all() }, { "others_bad", row.otherAnswers.bad },
                 { "others", row.otherAnswers.all() } });
     }
-    row.moving = !row.condemned && passed >= movingFrom;
-    row.share = row.condemned ? 0 : row.moving ? 1 : trialShare;
+    const bool trying = !row.condemned && passed >= trialFrom;
+    row.share = !trying ? 0 : passed < movingFrom ? trialShare : 1;
     if (row.condemned)
         publish(row, rollout_state::RolledBack, now);
-    else if (passed >= movedAt && (row.othersRunning == 0 || passed >= waitUntil))
+    else if (passed >= movingFrom && reportedSince(row, now) && (row.othersRunning == 0 || passed >= waitUntil))
         publish(row, rollout_state::Complete, now);
 }
 
+// Every daemon has had the time to move its sessions and to report what still runs on old servers.
+bool rollout_system::reportedSince(const rollout_row& row, time_point now)
+{
+    return toSeconds(now - row.since) >= toSeconds(row.order.allowed) * movingFrom + toSeconds(reportInterval) * 2;
+}
+
 void rollout_system::report(const rollout_row& row, time_point now)
 {
     const service_name& service = row.order.service;
--- /dev/null
+++ b/libs/relay/tests/placement_test.cpp
@@ -0,0 +1,157 @@
+#include <gtest/gtest.h>
+#include <relay/placement.h>
+#include <set>
+
+namespace pollen {
+
+namespace {
+
+const time_point now { std::chrono::seconds(1000) };
+const service_name advice("advice");
+const service_name desk("desk");
+constexpr uint64_t cacheTokens = 478000;
+
+listed_server makeServer(const std::string& id, const service_name& service, const char* domain, const char* version)
+{
+    listed_server server;
+    server.entry.id = instance_id(id);
+    server.entry.service = service;
+    server.entry.failureDomain = failure_domain_name(domain);
+    server.entry.address = { "127.0.0.1", 1 };
+    server.entry.versions = { { model_name(service.text()), version_name(version) } };
+    server.entry.slots = 6;
+    return server;
+}
+
+class PlacementTest : public testing::Test {
+protected:
+    PlacementTest()
+    {
+        engineService.name = advice;
+        engineService.engine = engine_limits { 64, cacheTokens };
+        plainService.name = desk;
+        std::vector<listed_server> list;
+        for (int i = 0; i < 9; ++i)
+            list.push_back(makeServer("e" + std::to_string(i), advice, i % 2 ? "a" : "b", i < 6 ? "v1" : "v2"));
+        for (int i = 0; i < 4; ++i)
+            list.push_back(makeServer("d" + std::to_string(i), desk, i % 2 ? "a" : "b", "v1"));
+        servers.replaceListed(list);
+    }
+
+    static placement_request longPrompt(uint64_t shared, uint64_t own)
+    {
+        placement_request request;
+        request.service = advice;
+        request.model = model_name("small");
+        request.parts = { { shared, 13000 }, { own, 3000 } };
+        request.promptTokens = 16000;
+        request.failureDomain = failure_domain_name("a");
+        return request;
+    }
+
+    std::string choose(placement& from, const placement_request& request)
+    {
+        const auto choice = from.choose(request, servers, request.service == desk ? plainService : engineService, now);
+        return choice ? servers.row(choice->server).entry.id.text() : "none";
+    }
+
+    random_source random { 7 };
+    placement chooser { random };
+    server_table servers;
+    relay_service engineService;
+    relay_service plainService;
+};
+
+} // namespace
+
+// Pattern: many callers ask about the same few long documents through different daemons.
+TEST_F(PlacementTest, DaemonsThatNeverTalkSendTheSameSharedPartToTheSameServer)
+{
+    random_source otherRandom { 99 };
+    placement other(otherRandom);
+    std::set<std::string> used;
+    for (uint64_t document = 1; document <= 40; ++document) {
+        const std::string server = choose(chooser, longPrompt(document, 1000 + document));
+        EXPECT_EQ(choose(other, longPrompt(document, 2000 + document)), server) << document;
+        used.insert(server);
+    }
+    EXPECT_GE(used.size(), 7U) << "the documents spread over the servers";
+}
+
+// Pattern: one document gets much of the traffic, and its server has more to read than others would with an empty
+// memory.
+TEST_F(PlacementTest, AHotDocumentSpillsOverOnceItsServerIsBehind)
+{
+    const std::string home = choose(chooser, longPrompt(1, 10));
+    servers.addUnreadTokens(*servers.find(instance_id(home)), 60000);
+    EXPECT_NE(choose(chooser, longPrompt(1, 11)), home);
+}
+
+TEST_F(PlacementTest, APromptGoesWhereItsPartsAreRemembered)
+{
+    const placement_request request = longPrompt(1, 10);
+    const std::string home = choose(chooser, request);
+    const instance_id elsewhere(home == "e3" ? "e4" : "e3");
+    chooser.remember(elsewhere, request, cacheTokens);
+    EXPECT_EQ(choose(chooser, request), elsewhere.text());
+    chooser.forget(elsewhere);
+    EXPECT_EQ(choose(chooser, request), home);
+}
+
+TEST_F(PlacementTest, PartsThatNoLongerFitAreNotCountedOn)
+{
+    const placement_request request = longPrompt(1, 10);
+    const std::string home = choose(chooser, request);
+    const instance_id elsewhere(home == "e3" ? "e4" : "e3");
+    chooser.remember(elsewhere, request, cacheTokens);
+    chooser.remember(elsewhere, longPrompt(2, 20), 17000);
+    EXPECT_EQ(choose(chooser, request), home);
+}
+
+TEST_F(PlacementTest, VersionsLeavingServersAndTriedOnesAreLeftOut)
+{
+    placement_request request = longPrompt(1, 10);
+    request.onlyVersion = version_name("v2");
+    std::set<std::string> used;
+    for (uint64_t i = 0; i < 30; ++i) {
+        request.parts[0].id = i;
+        used.insert(choose(chooser, request));
+    }
+    EXPECT_EQ(used, (std::set<std::string> { "e6", "e7", "e8" }));
+    request.excluded = { *servers.find(instance_id("e6")), *servers.find(instance_id("e7")) };
+    EXPECT_EQ(choose(chooser, request), "e8");
+    listed_server leaving = makeServer("e8", advice, "b", "v2");
+    leaving.leaving = true;
+    servers.replaceListed({ leaving });
+    EXPECT_EQ(choose(chooser, request), "none");
+}
+
+// Pattern: short calls beside a slow neighbour.
+TEST_F(PlacementTest, PlainCallsGoToTheLeastLoadedServerNearby)
+{
+    placement_request request;
+    request.service = desk;
+    request.failureDomain = failure_domain_name("a");
+    for (int i = 0; i < 10; ++i) {
+        const std::string server = choose(chooser, request);
+        EXPECT_TRUE(server == "d1" || server == "d3") << server;
+    }
+    for (const char* id : { "d1", "d3" })
+        servers.reportLoad(*servers.find(instance_id(id)), 6, false);
+    servers.reportSlowdown(*servers.find(instance_id("d0")), 2.5);
+    EXPECT_EQ(choose(chooser, request), "d2");
+}
+
+TEST_F(PlacementTest, AServerThatFailedIsTheLastResort)
+{
+    placement_request request;
+    request.service = desk;
+    request.failureDomain = failure_domain_name("a");
+    servers.reportFailure(*servers.find(instance_id("d1")), now);
+    EXPECT_EQ(choose(chooser, request), "d3");
+    for (const char* id : { "d0", "d2", "d3" })
+        servers.reportFailure(*servers.find(instance_id(id)), now);
+    EXPECT_NE(choose(chooser, request), "none");
+}
+
+} // namespace pollen
--- /dev/null
+++ b/libs/relay/tests/relay_values_test.cpp
@@ -0,0 +1,145 @@
+#include <gtest/gtest.h>
+#include <relay/crash_watch.h>
+#include <relay/event_splitter.h>
+#include <relay/log_budget.h>
+#include <relay/relay_state.h>
+#include <relay/session_versions.h>
+
+namespace pollen {
+
+namespace {
+
+const time_point start { std::chrono::seconds(1000) };
+
+relay_configuration sampleConfiguration(uint64_t version)
+{
+    relay_configuration configuration;
+    configuration.version = version;
+    for (const char* prefix : { "/a/", "/a/b/", "/", "/a/b/c/d/" }) {
+        relay_route route;
+        route.name = prefix;
+        route.host = "one.example";
+        route.pathPrefix = prefix;
+        configuration.routes.push_back(route);
+    }
+    configuration.routes[2].host = "two.example";
+    configuration.teams = std::vector<relay_team> { { team_name("team"), { "key-1", "key-2" }, 1 } };
+    return configuration;
+}
+
+} // namespace
+
+TEST(IndexedConfiguration, FindsTheRouteWithTheLongestPrefixOfThePath)
+{
+    const indexed_configuration configuration(sampleConfiguration(1));
+    struct lookup {
+        const char* host;
+        const char* path;
+        const char* route;
+    };
+    const std::vector<lookup> cases {
+        { "one.example", "/a/x", "/a/" },
+        { "one.example", "/a/b/x/y", "/a/b/" },
+        { "one.example", "/a/b/", "/a/b/" },
+        { "one.example", "/a/b", "/a/" },
+        { "one.example", "/a/b/c/d/e", "/a/b/c/d/" },
+        { "one.example", "/ab/x", "" },
+        { "one.example", "", "" },
+        { "two.example", "/anything", "/" },
+        { "three.example", "/a/x", "" },
+    };
+    for (const lookup& wanted : cases) {
+        const relay_route* route = configuration.findRoute(wanted.host, wanted.path);
+        EXPECT_EQ(route ? route->name : "", wanted.route) << wanted.host << wanted.path;
+    }
+}
+
+TEST(IndexedConfiguration, FindsTeamsByAnyOfTheirKeys)
+{
+    const indexed_configuration configuration(sampleConfiguration(1));
+    ASSERT_NE(configuration.findTeam("key-2"), nullptr);
+    EXPECT_EQ(configuration.findTeam("key-2")->name, team_name("team"));
+    EXPECT_EQ(configuration.findTeam("key-3"), nullptr);
+    EXPECT_EQ(configuration.findTeam(""), nullptr);
+}
+
+TEST(RelayState, NeverGoesBackToAnOlderConfiguration)
+{
+    relay_state state(std::nullopt);
+    EXPECT_TRUE(state.install(sampleConfiguration(5)));
+    EXPECT_FALSE(state.install(sampleConfiguration(4)));
+    EXPECT_FALSE(state.install(sampleConfiguration(5)));
+    EXPECT_EQ(state.configuration()->configuration().version, 5U);
+    EXPECT_TRUE(state.install(sampleConfiguration(9)));
+}
+
+TEST(RelayState, HonoursKeysOnlyWhileTheConfigurationIsKnownToBeCurrent)
+{
+    relay_state strict(std::chrono::seconds(4));
+    EXPECT_TRUE(strict.keysOutdated(start));
+    strict.setConfigurationKnown(start);
+    EXPECT_FALSE(strict.keysOutdated(start + std::chrono::seconds(4)));
+    EXPECT_TRUE(strict.keysOutdated(start + std::chrono::milliseconds(4001)));
+    strict.setConfigurationKnown(start - std::chrono::seconds(3));
+    EXPECT_FALSE(strict.keysOutdated(start + std::chrono::seconds(4))) << "an answer that comes late changes nothing";
+    relay_state lenient(std::nullopt);
+    EXPECT_FALSE(lenient.keysOutdated(start + std::chrono::hours(1)));
+}
+
+TEST(EventSplitter, HandsOnWholeEventsHoweverTheirBytesArrive)
+{
+    const std::string stream = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid:3\r\ndata: d\r\n\r\nid: 4\ndata: cut";
+    const std::string whole = stream.substr(0, stream.find("id: 4"));
+    for (const size_t step : { size_t { 1 }, size_t { 3 }, size_t { 7 }, stream.size() }) {
+        event_splitter splitter;
+        std::string events;
+        for (size_t at = 0; at < stream.size(); at += step)
+            events += splitter.take(std::string_view(stream).substr(at, step));
+        EXPECT_EQ(events, whole) << step;
+        EXPECT_EQ(splitter.lastEvent(), 3U) << step;
+        EXPECT_EQ(splitter.rest(), "id: 4\ndata: cut") << step;
+    }
+}
+
+TEST(EventSplitter, AnEventWithoutAReadableIdLeavesTheLastOne)
+{
+    event_splitter splitter;
+    EXPECT_FALSE(splitter.lastEvent());
+    splitter.take("id: 7\ndata: x\n\ndata: y\n\nid: z\n\n");
+    EXPECT_EQ(splitter.lastEvent(), 7U);
+}
+
+TEST(SessionVersions, ASessionIsForgottenOnceItIsIdle)
+{
+    session_versions sessions(std::chrono::seconds(5));
+    sessions.use(1, version_name("v1"), start);
+    EXPECT_EQ(sessions.find(1, start + std::chrono::seconds(5)), version_name("v1"));
+    EXPECT_EQ(sessions.find(1, start + std::chrono::seconds(6)), std::nullopt);
+    EXPECT_EQ(sessions.find(2, start), std::nullopt);
+}
+
+TEST(CrashWatch, OnlyARequestThatBreaksServerAfterServerIsSuspect)
+{
+    crash_watch watch;
+    watch.countBreak(1, start);
+    watch.countBreak(1, start);
+    watch.countBreak(2, start);
+    EXPECT_FALSE(watch.isSuspect(1, start));
+    watch.countBreak(1, start);
+    EXPECT_TRUE(watch.isSuspect(1, start));
+    EXPECT_FALSE(watch.isSuspect(2, start));
+    EXPECT_FALSE(watch.isSuspect(1, start + std::chrono::minutes(2)));
+}
+
+TEST(LogBudget, LinesDoNotGrowWithTheLoad)
+{
+    log_budget budget(10);
+    int lines = 0;
+    for (int millisecond = 0; millisecond < 10000; ++millisecond)
+        lines += budget.take(start + std::chrono::milliseconds(millisecond)) ? 1 : 0;
+    EXPECT_LE(lines, 110);
+    EXPECT_GE(lines, 100);
+    EXPECT_EQ(budget.dropped(), 10000U - static_cast<unsigned>(lines));
+}
+
+} // namespace pollen
--- /dev/null
+++ b/libs/relay/tests/rollout_test.cpp
@@ -0,0 +1,189 @@
+#include <gtest/gtest.h>
+#include <relay/rollout_system.h>
+
+namespace pollen {
+
+namespace {
+
+const service_name service("advice");
+const version_name target("v2");
+const time_point start { std::chrono::seconds(1000) };
+constexpr duration allowed = std::chrono::seconds(20);
+
+// Keeps what was published; stores it or not as the test says.
+class fake_store final : public fleet_store {
+public:
+    void publishRollout(const rollout_status& status, publish_callback callback) override
+    {
+        published.push_back(status);
+        if (answers)
+            callback(stores);
+        else
+            waiting = std::move(callback);
+    }
+    void publishReport(const rollout_report& report) override { reports.push_back(report); }
+    void followReports(bool wanted) override { following = wanted; }
+
+    std::vector<rollout_status> published;
+    std::vector<rollout_report> reports;
+    publish_callback waiting;
+    bool answers = true;
+    bool stores = true;
+    bool following = false;
+};
+
+// One daemon and its view of a roll-out.
+struct daemon_view {
+    explicit daemon_view(const char* id)
+        : system(table, store, instance_id(id), 1, log)
+    {
+    }
+
+    null_logger log;
+    fake_store store;
+    rollout_table table;
+    rollout_system system;
+
+    void answers(const version_name& version, int good, int bad)
+    {
+        for (int i = 0; i < good + bad; ++i)
+            system.countAnswer(service, version, i < good, false);
+    }
+    // Ticks through a span in steps of the daemon's own.
+    void run(duration from, duration until)
+    {
+        for (duration at = from; at <= until; at += std::chrono::milliseconds(50))
+            system.tick(start + at);
+    }
+    const rollout_row& row() { return *table.find(service); }
+};
+
+rollout_report reportOf(const char* id, duration age, version_answers answers)
+{
+    return { instance_id(id), 1, service, target, age, answers, {}, 0 };
+}
+
+} // namespace
+
+TEST(RolloutVerdict, WeighsAVersionAgainstTheOthersOfTheSameTime)
+{
+    struct evidence {
+        const char* what;
+        version_answers target;
+        version_answers others;
+        rollout_verdict verdict;
+    };
+    const std::vector<evidence> cases {
+        { "nothing seen", {}, {}, rollout_verdict::Open },
+        { "two failures", { 0, 2, 0 }, { 100, 0, 0 }, rollout_verdict::Open },
+        { "half fail", { 6, 6, 0 }, { 100, 0, 0 }, rollout_verdict::Bad },
+        { "all fail", { 0, 5, 0 }, { 100, 0, 0 }, rollout_verdict::Bad },
+        { "a third fails", { 20, 10, 0 }, { 100, 0, 0 }, rollout_verdict::Bad },
+        { "all well", { 40, 0, 0 }, { 100, 0, 0 }, rollout_verdict::Good },
+        { "as bad as the others", { 34, 6, 0 }, { 85, 15, 0 }, rollout_verdict::Good },
+        { "most are slow", { 10, 0, 8 }, { 100, 0, 2 }, rollout_verdict::Bad },
+        { "as slow as the others", { 40, 0, 4 }, { 90, 0, 10 }, rollout_verdict::Good },
+        { "few, all well", { 5, 0, 0 }, { 100, 0, 0 }, rollout_verdict::Open },
+    };
+    for (const evidence& seen : cases)
+        EXPECT_EQ(judgeRollout(seen.target, seen.others), seen.verdict) << seen.what;
+}
+
+TEST(RolloutSystem, AGoodVersionGetsNothingThenAFewSessionsThenAllAndIsCompletedInTime)
+{
+    daemon_view daemon("a");
+    daemon.table.order({ service, target, allowed }, start);
+    daemon.run(std::chrono::seconds(0), std::chrono::seconds(9));
+    EXPECT_EQ(daemon.row().share, 0) << "sessions of the old version stay in the first half";
+    EXPECT_TRUE(daemon.store.following);
+    daemon.run(std::chrono::seconds(9), std::chrono::seconds(11));
+    EXPECT_GT(daemon.row().share, 0);
+    EXPECT_LT(daemon.row().share, 0.5);
+    daemon.answers(target, 30, 0);
+    daemon.run(std::chrono::seconds(11), std::chrono::seconds(19));
+    EXPECT_EQ(daemon.row().state, rollout_state::Complete);
+    ASSERT_EQ(daemon.store.published.size(), 1U);
+    EXPECT_EQ(daemon.store.published[0], (rollout_status { service, target, rollout_state::Complete }));
+    EXPECT_FALSE(daemon.store.following);
+}
+
+TEST(RolloutSystem, OldServersAreNotStoppedWhileTheyAnswer)
+{
+    daemon_view daemon("a");
+    daemon.table.order({ service, target, allowed }, start);
+    daemon.system.addOther(service);
+    daemon.run(std::chrono::seconds(0), std::chrono::seconds(17));
+    EXPECT_TRUE(daemon.store.published.empty());
+    daemon.system.removeOther(service);
+    daemon.run(std::chrono::seconds(17), std::chrono::milliseconds(17500));
+    EXPECT_EQ(daemon.store.published.size(), 1U);
+}
+
+TEST(RolloutSystem, ABadVersionIsCondemnedOnTheEvidenceOfAllDaemonsTogether)
+{
+    daemon_view daemon("b");
+    daemon.table.order({ service, target, allowed }, start);
+    daemon.answers(version_name("v1"), 100, 0);
+    daemon.answers(target, 1, 2);
+    daemon.run(std::chrono::seconds(0), std::chrono::seconds(2));
+    EXPECT_FALSE(daemon.row().condemned);
+    daemon.system.hear(reportOf("c", std::chrono::seconds(2), { 1, 3, 0 }), start + std::chrono::seconds(2));
+    daemon.system.hear(reportOf("d", std::chrono::seconds(2), { 0, 2, 0 }), start + std::chrono::seconds(2));
+    daemon.run(std::chrono::seconds(2), std::chrono::milliseconds(2100));
+    EXPECT_TRUE(daemon.row().condemned);
+    EXPECT_EQ(daemon.row().share, 0);
+    ASSERT_EQ(daemon.store.published.size(), 1U);
+    EXPECT_EQ(daemon.store.published[0].state, rollout_state::RolledBack);
+}
+
+TEST(RolloutSystem, OnlyTheFirstDaemonPublishesAndTheNextTakesOverWhenItFallsSilent)
+{
+    daemon_view daemon("b");
+    daemon.table.order({ service, target, allowed }, start);
+    daemon.answers(target, 0, 9);
+    daemon.system.hear(reportOf("a", std::chrono::seconds(1), {}), start + std::chrono::seconds(1));
+    daemon.run(std::chrono::seconds(1), std::chrono::seconds(4));
+    EXPECT_TRUE(daemon.row().condemned);
+    EXPECT_TRUE(daemon.store.published.empty());
+    daemon.run(std::chrono::seconds(4), std::chrono::seconds(5));
+    EXPECT_FALSE(daemon.store.published.empty());
+}
+
+TEST(RolloutSystem, AStateThatWasNotStoredIsPublishedAgain)
+{
+    daemon_view daemon("a");
+    daemon.table.order({ service, target, allowed }, start);
+    daemon.answers(target, 0, 9);
+    daemon.store.stores = false;
+    daemon.run(std::chrono::seconds(0), std::chrono::seconds(3));
+    EXPECT_GE(daemon.store.published.size(), 3U);
+    EXPECT_EQ(daemon.row().state, rollout_state::Running);
+    daemon.store.answers = false;
+    daemon.run(std::chrono::seconds(3), std::chrono::seconds(4));
+    const size_t published = daemon.store.published.size();
+    daemon.run(std::chrono::seconds(4), std::chrono::seconds(6));
+    EXPECT_EQ(daemon.store.published.size(), published) << "one write at a time";
+    daemon.store.waiting(true);
+    EXPECT_EQ(daemon.row().state, rollout_state::RolledBack);
+}
+
+TEST(RolloutSystem, ADaemonThatStartsLaterLearnsHowLongTheRolloutHasBeenGoingOn)
+{
+    daemon_view daemon("z");
+    daemon.table.order({ service, target, allowed }, start);
+    daemon.system.hear(reportOf("a", std::chrono::seconds(12), { 30, 0, 0 }), start + std::chrono::seconds(1));
+    daemon.run(std::chrono::seconds(1), std::chrono::milliseconds(1100));
+    EXPECT_GT(daemon.row().share, 0);
+}
+
+TEST(RolloutSystem, AStateReadBeforeItsOrderHolds)
+{
+    daemon_view daemon("a");
+    daemon.table.status({ service, target, rollout_state::RolledBack });
+    daemon.table.order({ service, target, allowed }, start);
+    EXPECT_EQ(daemon.row().state, rollout_state::RolledBack);
+    daemon.table.order({ service, version_name("v3"), allowed }, start);
+    EXPECT_EQ(daemon.row().state, rollout_state::Running) << "another target is another roll-out";
+}
+
+} // namespace pollen
