Let one daemon of a failure domain read the store for the others

Change: the view of the fleet is kept with the positions of its records, and daemons pass on to each other what the other lacks, with its age. In each failure domain the daemons ask the first one, by id, that works; it reads the store and writes the roll-out counts of its group. Daemons announce themselves in a topic of the store. One that the store turns away asks any other.

Tests without a network: ViewSharingTest (a reader down or silent, a store that turns some away, no view made younger), SharedTopic, ViewMessage.

--- a/apps/pollenrouted/platform_daemon.cpp
+++ b/apps/pollenrouted/platform_daemon.cpp
@@ -4,7 +4,9 @@
 #include <adapter/platform_store.h>
 #include <config/daemon_settings.h>
 #include <csignal>
+#include <peer/tcp_state_exchange.h>
 #include <relay/relay_gateway.h>
+#include <relay/view_sharing.h>
 
 namespace pollen {
 
@@ -18,6 +20,8 @@
 constexpr duration endMargin = std::chrono::milliseconds(300);
 // Keys are refused this long before the limit, so that a request on its way to a server does not pass it.
 constexpr duration revocationMargin = std::chrono::milliseconds(400);
+// The platform's settings hold no secret that only daemons know; the tag of a frame only shows that it is whole.
+constexpr const char* peerSecret = "pollenroute";
 constexpr double retryReserve = 8;
 constexpr double retryShareOfBound = 0.9;
 constexpr double logLinesPerSecond = 10;
@@ -44,9 +48,12 @@
         , time(clock)
         , random(std::random_device()())
         , client(loop)
-        , store(loop, client, settings.store, *this, random, time, log)
+        , store(
+              loop, client, settings, { settings.id, settings.failureDomain, settings.peers }, *this, random, time, log)
         , state(keyLifetime(settings))
         , rolloutSystem(rollouts, store, settings.id, static_cast<uint64_t>(time.wallMilliseconds()), log)
+        , exchange(loop, settings.peers, peerSecret, log)
+        , sharing({ settings.id, settings.failureDomain }, store, rolloutSystem, exchange, time, log)
         , sessions(settings.sessionIdle)
         , servers(random)
         , retries(settings.retryShare * retryShareOfBound, retryReserve)
@@ -93,6 +100,8 @@
     relay_state state;
     rollout_table rollouts;
     rollout_system rolloutSystem;
+    tcp_state_exchange exchange;
+    view_sharing sharing;
     session_versions sessions;
     placement servers;
     crash_watch crashes;
@@ -157,6 +166,7 @@
 {
     parts& p = *m_parts;
     const time_point now = p.time.now();
+    p.sharing.tick(now);
     p.rolloutSystem.tick(now);
     const bool ready = p.gateway.ready();
     if (ready != std::exchange(p.ready, ready)) {
--- a/libs/control/src/configuration_keeper.cpp
+++ b/libs/control/src/configuration_keeper.cpp
@@ -28,7 +28,7 @@
               [this](log_offset oldest) { m_fold.skipTo(oldest); } })
     , m_alive(std::make_shared<bool>(true))
 {
-    m_exchange.setSource([this] {
+    m_exchange.setSource([this](const std::string&) {
         return version() == 0 ? std::string() : encodeRecord(m_fold.snapshot(randomHex64(), m_self.text()));
     });
 }
@@ -85,7 +85,7 @@
         return;
     m_fetching = true;
     m_nextFetch = now + fetchInterval;
-    m_exchange.fetch(newest->listed.address,
+    m_exchange.fetch(newest->listed.address, "",
         [this, peer = newest->listed.id, alive = std::weak_ptr<bool>(m_alive)](const auto& state) {
             if (!alive.expired())
                 onPeerState(peer, state);
--- a/libs/control/tests/table_systems_test.cpp
+++ b/libs/control/tests/table_systems_test.cpp
@@ -110,10 +110,10 @@
 // Hands over the state of a keeper without a network.
 class direct_exchange final : public state_exchange {
 public:
-    void fetch(const endpoint&, state_callback callback) override
+    void fetch(const endpoint&, const std::string& request, state_callback callback) override
     {
         ++fetches;
-        callback(other ? std::optional(other->source()) : std::nullopt);
+        callback(other ? std::optional(other->source(request)) : std::nullopt);
     }
     void setSource(state_source given) override { source = std::move(given); }
 
--- a/libs/peer/include/peer/state_exchange.h
+++ b/libs/peer/include/peer/state_exchange.h
@@ -7,7 +7,7 @@
 
 namespace pollen {
 
-// Fetches what another daemon holds as the state in force, for a daemon that cannot read it from the log.
+// Fetches what another daemon holds as the state in force, for a daemon that does not read it itself.
 class state_exchange {
 public:
     virtual ~state_exchange() = default;
@@ -15,17 +15,17 @@
     // Reports the peer's state, or none when it cannot be had or is not true to the secret. Called once, never from
     // inside fetch().
     using state_callback = std::function<void(const std::optional<std::string>&)>;
-    virtual void fetch(const endpoint& peer, state_callback callback) = 0;
+    virtual void fetch(const endpoint& peer, const std::string& request, state_callback callback) = 0;
 
-    // What this daemon answers; empty while it has no state.
-    using state_source = std::function<std::string()>;
+    // What this daemon answers to a request; empty while it has no state.
+    using state_source = std::function<std::string(const std::string& request)>;
     virtual void setSource(state_source source) = 0;
 };
 
 // For an instance without peers.
 class null_state_exchange final : public state_exchange {
 public:
-    void fetch(const endpoint&, state_callback) override { }
+    void fetch(const endpoint&, const std::string&, state_callback) override { }
     void setSource(state_source) override { }
 };
 
--- a/libs/peer/include/peer/state_frame.h
+++ b/libs/peer/include/peer/state_frame.h
@@ -12,6 +12,7 @@
 // What goes over one TCP connection between daemons: a request for the state, or the state.
 struct state_frame {
     bool isRequest = false;
+    // The state, or what the request asks for.
     std::string state;
 
     friend bool operator==(const state_frame&, const state_frame&) = default;
--- a/libs/peer/include/peer/tcp_state_exchange.h
+++ b/libs/peer/include/peer/tcp_state_exchange.h
@@ -16,7 +16,7 @@
     tcp_state_exchange(const tcp_state_exchange&) = delete;
     tcp_state_exchange& operator=(const tcp_state_exchange&) = delete;
 
-    void fetch(const endpoint& peer, state_callback callback) override;
+    void fetch(const endpoint& peer, const std::string& request, state_callback callback) override;
     void setSource(state_source source) override;
 
     // The address in use, with the port that was taken.
--- a/libs/peer/src/tcp_state_exchange.cpp
+++ b/libs/peer/src/tcp_state_exchange.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr int listenBacklog = 64;
-constexpr size_t maximumConnections = 32;
+constexpr size_t maximumConnections = 128;
 // Longest pause on a connection in either direction.
 constexpr time_t idleSeconds = 2;
 
@@ -34,7 +34,7 @@
     logger& log;
     endpoint address;
     evconnlistener* listener = nullptr;
-    state_source source = [] { return std::string(); };
+    state_source source = [](const std::string&) { return std::string(); };
     std::map<connection*, std::unique_ptr<connection>> connections;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
@@ -100,7 +100,7 @@
         if (answers != frame.isRequest)
             throw datagram_error("a request where a state belongs, or the reverse");
         if (answers)
-            send({ false, m_owner.source() });
+            send({ false, m_owner.source(frame.state) });
         else
             finish(frame.state.empty() ? std::nullopt : std::optional(frame.state));
     }
@@ -151,14 +151,14 @@
 
 tcp_state_exchange::~tcp_state_exchange() { evconnlistener_free(m_details->listener); }
 
-void tcp_state_exchange::fetch(const endpoint& peer, state_callback callback)
+void tcp_state_exchange::fetch(const endpoint& peer, const std::string& request, state_callback callback)
 {
     socket_address address = toSocketAddress(peer);
     bufferevent* events = bufferevent_socket_new(m_details->loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     auto asking = std::make_unique<connection>(*m_details, events, std::move(callback));
     connection* key = asking.get();
     m_details->connections.emplace(key, std::move(asking));
-    key->send({ true, "" });
+    key->send({ true, request });
     bufferevent_socket_connect(events, address.get(), static_cast<int>(address.length));
 }
 
--- a/libs/peer/tests/state_exchange_test.cpp
+++ b/libs/peer/tests/state_exchange_test.cpp
@@ -19,7 +19,7 @@
     std::optional<std::string> fetch(tcp_state_exchange& asking, const endpoint& from)
     {
         std::optional<std::optional<std::string>> answer;
-        asking.fetch(from, [&](const std::optional<std::string>& state) { answer = state; });
+        asking.fetch(from, "ask", [&](const std::optional<std::string>& state) { answer = state; });
         EXPECT_FALSE(answer) << "called back from inside fetch()";
         EXPECT_TRUE(m_loop.runUntil([&] { return answer.has_value(); }, patience));
         return answer.value_or(std::nullopt);
@@ -78,15 +78,20 @@
     const auto answering = make();
     EXPECT_EQ(fetch(*asking, answering->address()), std::nullopt) << "a peer without a state";
     std::string state(1 << 20, 's');
-    answering->setSource([&] { return state; });
+    std::string asked;
+    answering->setSource([&](const std::string& request) {
+        asked = request;
+        return state;
+    });
     EXPECT_EQ(fetch(*asking, answering->address()), state);
+    EXPECT_EQ(asked, "ask");
 }
 
 TEST_F(StateExchangeTest, ReportsNothingFromAStrangerOrNobody)
 {
     const auto asking = make();
     auto stranger = make("another secret");
-    stranger->setSource([] { return std::string("lies"); });
+    stranger->setSource([](const std::string&) { return std::string("lies"); });
     const endpoint address = stranger->address();
     EXPECT_EQ(fetch(*asking, address), std::nullopt);
     stranger.reset();
--- a/libs/relay/include/relay/fleet_store.h
+++ b/libs/relay/include/relay/fleet_store.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <functional>
+#include <peer/peer_table.h>
 #include <relay/rollout.h>
+#include <relay/shared_topic.h>
 
 namespace pollen {
 
-// Where the daemons of a fleet write what all of them have to know.
+// Where the daemons of a fleet read and write what all of them have to know.
 class fleet_store {
 public:
     virtual ~fleet_store() = default;
@@ -18,8 +20,17 @@
     // Publishes a report; it may be lost.
     virtual void publishReport(const rollout_report& report) = 0;
 
-    // Reports are read only while they are wanted.
+    // Reports and states of roll-outs are followed only while they are wanted.
     virtual void followReports(bool wanted) = 0;
+
+    // Starts or stops reading; a daemon that does not read learns from others.
+    virtual void setReading(bool reading) = 0;
+
+    // The view of the fleet, in an order that is the same in all daemons.
+    virtual std::vector<shared_topic*> topics() = 0;
+
+    // The daemons that have announced themselves, this one included; some may have gone.
+    virtual std::vector<listed_peer> daemons() const = 0;
 };
 
 } // namespace pollen
--- a/libs/relay/include/relay/rollout_system.h
+++ b/libs/relay/include/relay/rollout_system.h
@@ -10,8 +10,9 @@
 
 namespace pollen {
 
-// Takes roll-outs through their stages. Every daemon adds up the reports of all and comes to the same verdict; the one
-// with the lowest id among those heard lately tells the operators.
+// Takes roll-outs through their stages. Daemons that learn from another one hand it their counts; those that read the
+// store publish the counts of their groups there, so that every daemon adds up the same and comes to the same verdict.
+// The first of those that read tells the operators.
 class rollout_system final : public fleet_system {
 public:
     rollout_system(
@@ -19,8 +20,20 @@
 
     void tick(time_point now) override;
 
-    // Takes in a report of any daemon.
+    // Whether this daemon reads the store and so speaks for its group.
+    void setReading(bool reading) { m_reading = reading; }
+
+    // Takes in the published report of a group, by the id of the daemon that reads for it.
     void hear(const rollout_report& report, time_point now);
+    // Takes in the counts of a daemon that learns from this one.
+    void hearMember(const rollout_report& report, time_point now);
+    // Takes in the counts of all daemons, from the one that this daemon learns from.
+    void hearTotal(const rollout_report& report, time_point now);
+
+    // The counts of this daemon and of those that learn from it, for each roll-out that is running.
+    std::vector<rollout_report> ownReports(time_point now) const;
+    // The counts of all daemons, as far as they are known here.
+    std::vector<rollout_report> totals(time_point now) const;
 
     // One answer of a server in a service whose roll-out is running.
     void countAnswer(const service_name& service, const version_name& version, bool good, bool slow);
@@ -33,13 +46,15 @@
         rollout_report report;
         time_point heard;
     };
+    using report_key = std::pair<instance_id, service_name>;
 
     bool isLeader(const service_name& service, time_point now) const;
     void beginCounting(const rollout_row& row);
-    void addUp(rollout_row& row);
+    rollout_report groupReport(const rollout_row& row, time_point now) const;
+    rollout_report totalReport(const rollout_row& row, time_point now) const;
+    void learnAge(const rollout_report& report, time_point now);
     void advance(rollout_row& row, time_point now);
     static bool reportedSince(const rollout_row& row, time_point now);
-    void report(const rollout_row& row, time_point now);
     void publish(const rollout_row& row, rollout_state state, time_point now);
 
     rollout_table& m_table;
@@ -47,11 +62,14 @@
     instance_id m_self;
     uint64_t m_incarnation;
     logger& m_log;
+    bool m_reading = true;
     std::map<service_name, version_answers> m_ownTarget;
     std::map<service_name, version_answers> m_ownOthers;
     std::map<service_name, uint64_t> m_othersRunning;
     std::map<service_name, version_name> m_countedTarget;
-    std::map<std::pair<instance_id, service_name>, heard_report> m_heard;
+    std::map<report_key, heard_report> m_groups;
+    std::map<report_key, heard_report> m_members;
+    std::map<service_name, heard_report> m_totals;
     time_point m_nextReport {};
     time_point m_nextPublish {};
     std::shared_ptr<bool> m_publishing;
--- /dev/null
+++ b/libs/relay/include/relay/view_message.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <base/error.h>
+#include <relay/rollout.h>
+#include <relay/shared_topic.h>
+
+namespace pollen {
+
+// A message between daemons that cannot be read.
+class view_message_error final : public error {
+public:
+    using error::error;
+};
+
+// Asks a daemon for what the sender lacks of its view of the fleet.
+struct view_request {
+    // By topic, in the order in which all daemons keep them.
+    std::vector<uint64_t> positions;
+    // What the sender itself has seen of the roll-outs that are running.
+    std::vector<rollout_report> reports;
+
+    friend bool operator==(const view_request&, const view_request&) = default;
+};
+
+struct view_reply {
+    // By topic; empty while the daemon knows nothing.
+    std::vector<topic_change> changes;
+    // What all daemons together have seen of the roll-outs that are running.
+    std::vector<rollout_report> totals;
+
+    friend bool operator==(const view_reply&, const view_reply&) = default;
+};
+
+std::string encodeViewRequest(const view_request& request);
+std::string encodeViewReply(const view_reply& reply);
+
+// Both throw view_message_error.
+view_request decodeViewRequest(const std::string& bytes);
+view_reply decodeViewReply(const std::string& bytes);
+
+} // namespace pollen
--- /dev/null
+++ b/libs/relay/include/relay/view_sharing.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <base/logger.h>
+#include <fleet/fleet_system.h>
+#include <memory>
+#include <peer/state_exchange.h>
+#include <relay/fleet_store.h>
+#include <relay/rollout_system.h>
+
+namespace pollen {
+
+// Decides who reads the store. In each failure domain the daemons ask the first of them that works, by id; that one, or
+// each one for which none of those before it works, reads the store itself. A daemon that the store turns away asks any
+// other daemon.
+class view_sharing final : public fleet_system {
+public:
+    struct identity {
+        instance_id id;
+        failure_domain_name failureDomain;
+    };
+
+    view_sharing(identity self, fleet_store& store, rollout_system& rollouts, state_exchange& exchange,
+        const clock& time, logger& log);
+
+    void tick(time_point now) override;
+
+    // The daemon that is asked instead of the store; empty while the store is read.
+    const instance_id& upstream() const { return m_upstream; }
+
+private:
+    std::optional<listed_peer> choosePeer(time_point now);
+    bool works(const instance_id& peer, time_point now) const;
+    void ask(const listed_peer& peer, time_point now);
+    void onReply(const instance_id& peer, const std::optional<std::string>& bytes, time_point asked);
+    void fail(const instance_id& peer, const char* reason, time_point now);
+    void setUpstream(const instance_id& peer);
+    std::string answer(const std::string& bytes);
+    duration viewAge(time_point now) const;
+
+    struct penalty {
+        time_point until;
+        uint32_t failures = 0;
+    };
+
+    identity m_self;
+    fleet_store& m_store;
+    rollout_system& m_rollouts;
+    state_exchange& m_exchange;
+    const clock& m_time;
+    logger& m_log;
+    instance_id m_upstream;
+    std::map<instance_id, penalty> m_penalties;
+    // The request that is under way.
+    uint64_t m_asking = 0;
+    std::optional<listed_peer> m_asked;
+    time_point m_askedAt {};
+    time_point m_next {};
+    size_t m_turn = 0;
+    std::shared_ptr<bool> m_alive;
+};
+
+} // namespace pollen
--- a/libs/relay/src/rollout_system.cpp
+++ b/libs/relay/src/rollout_system.cpp
@@ -17,6 +17,22 @@
 constexpr double movingFrom = 0.65;
 constexpr double waitUntil = 0.9;
 
+version_answers sum(const version_answers& left, const version_answers& right)
+{
+    return { left.good + right.good, left.bad + right.bad, left.slow + right.slow };
+}
+
+// The counts of both under the name of the first.
+rollout_report sum(const rollout_report& left, const rollout_report& right)
+{
+    rollout_report total = left;
+    total.age = std::max(left.age, right.age);
+    total.targetAnswers = sum(left.targetAnswers, right.targetAnswers);
+    total.otherAnswers = sum(left.otherAnswers, right.otherAnswers);
+    total.othersRunning += right.othersRunning;
+    return total;
+}
+
 } // namespace
 
 rollout_system::rollout_system(
@@ -33,15 +49,18 @@
 void rollout_system::tick(time_point now)
 {
     bool anyRunning = false;
-    const bool reportNow = now >= m_nextReport;
+    const bool reportNow = m_reading && now >= m_nextReport;
     for (auto& [service, row] : m_table.rows()) {
         if (row.state != rollout_state::Running)
             continue;
         anyRunning = true;
         beginCounting(row);
         if (reportNow)
-            report(row, now);
-        addUp(row);
+            m_store.publishReport(groupReport(row, now));
+        const rollout_report total = totalReport(row, now);
+        row.targetAnswers = total.targetAnswers;
+        row.otherAnswers = total.otherAnswers;
+        row.othersRunning = total.othersRunning;
         advance(row, now);
     }
     if (reportNow && anyRunning)
@@ -65,13 +84,49 @@
 
 void rollout_system::hear(const rollout_report& report, time_point now)
 {
-    m_heard[{ report.daemon, report.service }] = { report, now };
-    // A daemon that started later learns how long the roll-out has been going on.
+    m_groups[{ report.daemon, report.service }] = { report, now };
+    learnAge(report, now);
+}
+
+void rollout_system::hearMember(const rollout_report& report, time_point now)
+{
+    m_members[{ report.daemon, report.service }] = { report, now };
+}
+
+void rollout_system::hearTotal(const rollout_report& report, time_point now)
+{
+    m_totals[report.service] = { report, now };
+    learnAge(report, now);
+}
+
+// A daemon that started later learns how long the roll-out has been going on.
+void rollout_system::learnAge(const rollout_report& report, time_point now)
+{
     rollout_row* row = m_table.find(report.service);
     if (row && row->order.target == report.target)
         row->since = std::min(row->since, now - report.age);
 }
 
+std::vector<rollout_report> rollout_system::ownReports(time_point now) const
+{
+    std::vector<rollout_report> reports;
+    for (const auto& [service, row] : m_table.rows()) {
+        if (row.state == rollout_state::Running)
+            reports.push_back(groupReport(row, now));
+    }
+    return reports;
+}
+
+std::vector<rollout_report> rollout_system::totals(time_point now) const
+{
+    std::vector<rollout_report> reports;
+    for (const auto& [service, row] : m_table.rows()) {
+        if (row.state == rollout_state::Running)
+            reports.push_back(totalReport(row, now));
+    }
+    return reports;
+}
+
 void rollout_system::countAnswer(const service_name& service, const version_name& version, bool good, bool slow)
 {
     const rollout_row* row = m_table.find(service);
@@ -86,32 +141,47 @@
 
 bool rollout_system::isLeader(const service_name& service, time_point now) const
 {
-    for (const auto& [key, heard] : m_heard) {
+    if (!m_reading)
+        return false;
+    for (const auto& [key, heard] : m_groups) {
         if (key.second == service && key.first < m_self && now - heard.heard < reportLifetime)
             return false;
     }
     return true;
 }
 
-void rollout_system::addUp(rollout_row& row)
+rollout_report rollout_system::groupReport(const rollout_row& row, time_point now) const
 {
     const service_name& service = row.order.service;
-    version_answers target = m_ownTarget[service];
-    version_answers others = m_ownOthers[service];
-    uint64_t running = m_othersRunning[service];
-    for (const auto& [key, heard] : m_heard) {
-        const rollout_report& report = heard.report;
-        if (key.second != service || key.first == m_self || report.target != row.order.target)
-            continue;
-        target = { target.good + report.targetAnswers.good, target.bad + report.targetAnswers.bad,
-            target.slow + report.targetAnswers.slow };
-        others = { others.good + report.otherAnswers.good, others.bad + report.otherAnswers.bad,
-            others.slow + report.otherAnswers.slow };
-        running += report.othersRunning;
+    rollout_report report { m_self, m_incarnation, service, row.order.target, now - row.since, {}, {}, 0 };
+    const auto counted = m_countedTarget.find(service);
+    if (counted != m_countedTarget.end() && counted->second == row.order.target) {
+        report.targetAnswers = m_ownTarget.at(service);
+        report.otherAnswers = m_ownOthers.at(service);
     }
-    row.targetAnswers = target;
-    row.otherAnswers = others;
-    row.othersRunning = running;
+    const auto running = m_othersRunning.find(service);
+    report.othersRunning = running == m_othersRunning.end() ? 0 : running->second;
+    for (const auto& [key, heard] : m_members) {
+        if (key.second == service && heard.report.target == row.order.target && now - heard.heard < reportLifetime)
+            report = sum(report, heard.report);
+    }
+    return report;
+}
+
+rollout_report rollout_system::totalReport(const rollout_row& row, time_point now) const
+{
+    const service_name& service = row.order.service;
+    const auto total = m_totals.find(service);
+    const bool usable = total != m_totals.end() && total->second.report.target == row.order.target
+        && now - total->second.heard < reportLifetime;
+    if (!m_reading && usable)
+        return total->second.report;
+    rollout_report report = groupReport(row, now);
+    for (const auto& [key, heard] : m_groups) {
+        if (key.second == service && key.first != m_self && heard.report.target == row.order.target)
+            report = sum(report, heard.report);
+    }
+    return report;
 }
 
 void rollout_system::advance(rollout_row& row, time_point now)
@@ -140,13 +210,6 @@
     return toSeconds(now - row.since) >= toSeconds(row.order.allowed) * movingFrom + toSeconds(reportInterval) * 2;
 }
 
-void rollout_system::report(const rollout_row& row, time_point now)
-{
-    const service_name& service = row.order.service;
-    m_store.publishReport({ m_self, m_incarnation, service, row.order.target, now - row.since, m_ownTarget[service],
-        m_ownOthers[service], m_othersRunning[service] });
-}
-
 void rollout_system::publish(const rollout_row& row, rollout_state state, time_point now)
 {
     if (*m_publishing || now < m_nextPublish || !isLeader(row.order.service, now))
--- /dev/null
+++ b/libs/relay/src/view_message.cpp
@@ -0,0 +1,90 @@
+#include <relay/view_message.h>
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <sstream>
+
+namespace pollen {
+
+// cereal finds these by name; names go as their text.
+template <typename Archive, typename Tag> void save(Archive& archive, const typed_id<Tag>& id) { archive(id.text()); }
+
+template <typename Archive, typename Tag> void load(Archive& archive, typed_id<Tag>& id)
+{
+    std::string text;
+    archive(text);
+    id = typed_id<Tag>(std::move(text));
+}
+
+template <typename Archive> void serialize(Archive& archive, topic_record& record)
+{
+    archive(record.key, record.value, record.offset);
+}
+
+template <typename Archive> void serialize(Archive& archive, topic_change& change)
+{
+    archive(change.whole, change.position, change.age, change.records);
+}
+
+template <typename Archive> void serialize(Archive& archive, version_answers& answers)
+{
+    archive(answers.good, answers.bad, answers.slow);
+}
+
+template <typename Archive> void serialize(Archive& archive, rollout_report& report)
+{
+    archive(report.daemon, report.incarnation, report.service, report.target, report.age, report.targetAnswers,
+        report.otherAnswers, report.othersRunning);
+}
+
+template <typename Archive> void serialize(Archive& archive, view_request& request)
+{
+    archive(request.positions, request.reports);
+}
+
+template <typename Archive> void serialize(Archive& archive, view_reply& reply)
+{
+    archive(reply.changes, reply.totals);
+}
+
+namespace {
+
+template <typename Message> std::string encode(const Message& message)
+{
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(message);
+    }
+    return stream.str();
+}
+
+template <typename Message> Message decode(const std::string& bytes)
+{
+    try {
+        std::istringstream stream(bytes);
+        cereal::PortableBinaryInputArchive archive(stream);
+        Message message;
+        archive(message);
+        return message;
+    } catch (const cereal::Exception& problem) {
+        throw view_message_error(problem.what());
+    } catch (const std::length_error& problem) {
+        // A length that no frame can hold.
+        throw view_message_error(problem.what());
+    } catch (const std::bad_alloc& problem) {
+        throw view_message_error(problem.what());
+    }
+}
+
+} // namespace
+
+std::string encodeViewRequest(const view_request& request) { return encode(request); }
+std::string encodeViewReply(const view_reply& reply) { return encode(reply); }
+view_request decodeViewRequest(const std::string& bytes) { return decode<view_request>(bytes); }
+view_reply decodeViewReply(const std::string& bytes) { return decode<view_reply>(bytes); }
+
+} // namespace pollen
--- /dev/null
+++ b/libs/relay/src/view_sharing.cpp
@@ -0,0 +1,184 @@
+#include <relay/view_sharing.h>
+
+#include <relay/view_message.h>
+
+namespace pollen {
+
+namespace {
+
+constexpr duration askInterval = std::chrono::milliseconds(400);
+// A daemon that has not answered by then is taken for silent; within a failure domain answers take a few milliseconds.
+constexpr duration answerTimeout = std::chrono::milliseconds(400);
+constexpr duration firstPenalty = std::chrono::seconds(2);
+constexpr uint32_t mostDoublings = 4;
+// Daemons before this one that are tried before it reads the store itself.
+constexpr size_t mostCandidates = 3;
+// A view that is older shows that its holder has lost the store, too.
+constexpr duration oldestView = std::chrono::milliseconds(3200);
+// The store's own followers bring news about once a second; a view that is older has lost them.
+constexpr duration lostStore = std::chrono::milliseconds(2800);
+
+} // namespace
+
+view_sharing::view_sharing(identity self, fleet_store& store, rollout_system& rollouts, state_exchange& exchange,
+    const clock& time, logger& log)
+    : m_self(std::move(self))
+    , m_store(store)
+    , m_rollouts(rollouts)
+    , m_exchange(exchange)
+    , m_time(time)
+    , m_log(log)
+    , m_alive(std::make_shared<bool>(true))
+{
+    m_exchange.setSource([this](const std::string& bytes) { return answer(bytes); });
+}
+
+void view_sharing::tick(time_point now)
+{
+    if (m_asked && now - m_askedAt > answerTimeout)
+        fail(m_asked->id, "silent", now);
+    if (m_asked || now < m_next)
+        return;
+    const auto peer = choosePeer(now);
+    if (!peer) {
+        setUpstream({});
+        m_next = now + askInterval;
+        return;
+    }
+    ask(*peer, now);
+}
+
+// The first working daemon of the failure domain before this one; any other while the store cannot be read.
+std::optional<listed_peer> view_sharing::choosePeer(time_point now)
+{
+    const std::vector<listed_peer> daemons = m_store.daemons();
+    size_t candidates = 0;
+    for (const listed_peer& daemon : daemons) {
+        if (daemon.failureDomain != m_self.failureDomain || !(daemon.id < m_self.id))
+            continue;
+        if (works(daemon.id, now))
+            return daemon;
+        if (++candidates == mostCandidates)
+            break;
+    }
+    if (viewAge(now) < lostStore || daemons.empty())
+        return std::nullopt;
+    for (size_t i = 0; i < daemons.size(); ++i) {
+        const listed_peer& daemon = daemons[++m_turn % daemons.size()];
+        if (daemon.id != m_self.id && works(daemon.id, now))
+            return daemon;
+    }
+    return std::nullopt;
+}
+
+bool view_sharing::works(const instance_id& peer, time_point now) const
+{
+    const auto found = m_penalties.find(peer);
+    return found == m_penalties.end() || now >= found->second.until;
+}
+
+duration view_sharing::viewAge(time_point now) const
+{
+    duration age { 0 };
+    const std::vector<shared_topic*> topics = m_store.topics();
+    // The first topic is the configuration, which is followed without a pause.
+    if (!topics.empty())
+        age = now - topics.front()->asOf();
+    return age;
+}
+
+void view_sharing::ask(const listed_peer& peer, time_point now)
+{
+    view_request request;
+    for (const shared_topic* topic : m_store.topics())
+        request.positions.push_back(topic->position());
+    request.reports = m_rollouts.ownReports(now);
+    m_asked = peer;
+    m_askedAt = now;
+    const uint64_t asking = ++m_asking;
+    m_exchange.fetch(peer.address, encodeViewRequest(request),
+        [this, asking, id = peer.id, now, alive = std::weak_ptr<bool>(m_alive)](
+            const std::optional<std::string>& bytes) {
+            if (!alive.expired() && asking == m_asking && m_asked)
+                onReply(id, bytes, now);
+        });
+}
+
+void view_sharing::onReply(const instance_id& peer, const std::optional<std::string>& bytes, time_point asked)
+{
+    const time_point now = m_time.now();
+    if (!bytes) {
+        fail(peer, "no answer", now);
+        return;
+    }
+    view_reply reply;
+    try {
+        reply = decodeViewReply(*bytes);
+    } catch (const view_message_error& problem) {
+        m_log.write(log_level::Warning, "view_unreadable", { { "peer", peer.text() }, { "problem", problem.what() } });
+        fail(peer, "unreadable", now);
+        return;
+    }
+    const std::vector<shared_topic*> topics = m_store.topics();
+    if (reply.changes.size() != topics.size() || reply.changes.front().age > oldestView) {
+        fail(peer, "view too old", now);
+        return;
+    }
+    for (size_t i = 0; i < topics.size(); ++i)
+        topics[i]->apply(reply.changes[i], asked);
+    for (const rollout_report& total : reply.totals)
+        m_rollouts.hearTotal(total, now);
+    m_penalties.erase(peer);
+    m_asked.reset();
+    m_next = asked + askInterval;
+    // A daemon that was asked only because the store is out of reach does not take the store's place.
+    const auto usual = choosePeer(now);
+    setUpstream(usual && usual->id == peer && usual->id < m_self.id ? peer : instance_id());
+}
+
+void view_sharing::fail(const instance_id& peer, const char* reason, time_point now)
+{
+    penalty& entry = m_penalties[peer];
+    entry.until = now + firstPenalty * (1 << std::min(entry.failures, mostDoublings));
+    ++entry.failures;
+    m_asked.reset();
+    m_next = now;
+    m_log.write(log_level::Info, "view_peer_failed", { { "peer", peer.text() }, { "reason", reason } });
+}
+
+void view_sharing::setUpstream(const instance_id& peer)
+{
+    if (m_upstream == peer)
+        return;
+    m_upstream = peer;
+    m_store.setReading(peer.empty());
+    m_rollouts.setReading(peer.empty());
+    m_log.write(log_level::Info, "view_source", { { "source", peer.empty() ? std::string("store") : peer.text() } });
+}
+
+std::string view_sharing::answer(const std::string& bytes)
+{
+    const time_point now = m_time.now();
+    try {
+        const view_request request = decodeViewRequest(bytes);
+        const std::vector<shared_topic*> topics = m_store.topics();
+        if (request.positions.size() != topics.size())
+            return {};
+        view_reply reply;
+        for (size_t i = 0; i < topics.size(); ++i) {
+            const auto change = topics[i]->changeSince(request.positions[i], now);
+            if (!change)
+                return {};
+            reply.changes.push_back(*change);
+        }
+        for (const rollout_report& report : request.reports)
+            m_rollouts.hearMember(report, now);
+        reply.totals = m_rollouts.totals(now);
+        return encodeViewReply(reply);
+    } catch (const view_message_error& problem) {
+        m_log.write(log_level::Warning, "view_request_unreadable", { { "problem", problem.what() } });
+        return {};
+    }
+}
+
+} // namespace pollen
--- a/libs/relay/tests/rollout_test.cpp
+++ b/libs/relay/tests/rollout_test.cpp
@@ -23,6 +23,9 @@
     }
     void publishReport(const rollout_report& report) override { reports.push_back(report); }
     void followReports(bool wanted) override { following = wanted; }
+    void setReading(bool) override { }
+    std::vector<shared_topic*> topics() override { return {}; }
+    std::vector<listed_peer> daemons() const override { return {}; }
 
     std::vector<rollout_status> published;
     std::vector<rollout_report> reports;
@@ -176,6 +179,31 @@
     EXPECT_GT(daemon.row().share, 0);
 }
 
+TEST(RolloutSystem, ADaemonSpeaksForThoseThatLearnFromIt)
+{
+    daemon_view reader("a");
+    daemon_view member("b");
+    for (daemon_view* daemon : { &reader, &member })
+        daemon->table.order({ service, target, allowed }, start);
+    member.system.setReading(false);
+    reader.store.answers = false;
+    member.answers(target, 1, 5);
+    reader.answers(target, 0, 4);
+    const time_point now = start + std::chrono::seconds(1);
+    member.system.tick(now);
+    EXPECT_TRUE(member.store.reports.empty()) << "only a daemon that reads the store writes to it";
+    ASSERT_EQ(member.system.ownReports(now).size(), 1U);
+    reader.system.hearMember(member.system.ownReports(now)[0], now);
+    reader.system.tick(now);
+    ASSERT_EQ(reader.store.reports.size(), 1U);
+    EXPECT_EQ(reader.store.reports[0].targetAnswers, (version_answers { 1, 9, 0 }));
+    EXPECT_TRUE(reader.row().condemned);
+    member.system.hearTotal(reader.system.totals(now)[0], now);
+    member.system.tick(now);
+    EXPECT_TRUE(member.row().condemned);
+    EXPECT_TRUE(member.store.published.empty());
+}
+
 TEST(RolloutSystem, AStateReadBeforeItsOrderHolds)
 {
     daemon_view daemon("a");
--- /dev/null
+++ b/libs/relay/tests/view_sharing_test.cpp
@@ -0,0 +1,287 @@
+#include <gtest/gtest.h>
+#include <relay/view_message.h>
+#include <relay/view_sharing.h>
+
+namespace pollen {
+
+namespace {
+
+const time_point start { std::chrono::seconds(1000) };
+
+class recording_listener final : public topic_listener {
+public:
+    bool onKey(const std::string& key, const std::optional<std::string>& value) override
+    {
+        if (value && values.contains(key) && values[key] == *value)
+            return false;
+        if (value)
+            values[key] = *value;
+        else
+            values.erase(key);
+        ++changes;
+        return true;
+    }
+    void onSynced(time_point) override { }
+
+    std::map<std::string, std::string> values;
+    int changes = 0;
+};
+
+using contents = std::map<std::string, std::string>;
+
+// A store that holds a view and a list of daemons.
+class fake_store final : public fleet_store {
+public:
+    void publishRollout(const rollout_status&, publish_callback) override { }
+    void publishReport(const rollout_report&) override { }
+    void followReports(bool) override { }
+    void setReading(bool itReads) override { reading = itReads; }
+    std::vector<shared_topic*> topics() override { return { &topic }; }
+    std::vector<listed_peer> daemons() const override { return listed; }
+
+    recording_listener listener;
+    shared_topic topic { listener };
+    std::vector<listed_peer> listed;
+    bool reading = true;
+};
+
+// Hands requests to the daemons of the test, unless they are down or silent.
+class fake_network {
+public:
+    std::map<endpoint, state_exchange::state_source> sources;
+    std::set<endpoint> down;
+    std::set<endpoint> silent;
+    int requests = 0;
+};
+
+class fake_exchange final : public state_exchange {
+public:
+    fake_exchange(fake_network& network, const endpoint& self)
+        : m_network(network)
+        , m_self(self)
+    {
+    }
+    void fetch(const endpoint& peer, const std::string& request, state_callback callback) override
+    {
+        ++m_network.requests;
+        if (m_network.silent.contains(peer))
+            return;
+        const std::string reply = m_network.down.contains(peer) ? "" : m_network.sources[peer](request);
+        callback(reply.empty() ? std::nullopt : std::optional(reply));
+    }
+    void setSource(state_source source) override { m_network.sources[m_self] = std::move(source); }
+
+private:
+    fake_network& m_network;
+    endpoint m_self;
+};
+
+struct test_daemon {
+    test_daemon(fake_network& network, const clock& time, const std::string& id, const char* domain, uint16_t port)
+        : listed { instance_id(id), failure_domain_name(domain), { "127.0.0.1", port } }
+        , rollouts(table, store, listed.id, 1, log)
+        , exchange(network, listed.address)
+        , sharing({ listed.id, listed.failureDomain }, store, rollouts, exchange, time, log)
+    {
+    }
+
+    null_logger log;
+    listed_peer listed;
+    fake_store store;
+    rollout_table table;
+    rollout_system rollouts;
+    fake_exchange exchange;
+    view_sharing sharing;
+    bool storeWorks = true;
+};
+
+class ViewSharingTest : public testing::Test {
+protected:
+    ViewSharingTest()
+    {
+        time.advance(std::chrono::seconds(1000));
+        uint16_t port = 1;
+        for (const char* id : { "a1", "a2", "a3", "b1", "b2" })
+            daemons[id] = std::make_unique<test_daemon>(network, time, id, std::string(1, id[0]).c_str(), port++);
+        for (const auto& [id, daemon] : daemons) {
+            for (const auto& [otherId, other] : daemons)
+                daemon->store.listed.push_back(other->listed);
+        }
+    }
+
+    // Lets time pass. A daemon that reads a store that works knows what is in it.
+    void run(duration span)
+    {
+        for (duration passed { 0 }; passed < span; passed += step) {
+            time.advance(step);
+            for (const auto& [id, daemon] : daemons) {
+                if (daemon->store.reading && daemon->storeWorks) {
+                    for (const topic_record& record : written)
+                        daemon->store.topic.apply(record);
+                    daemon->store.topic.synced(written.size(), time.now());
+                }
+                daemon->sharing.tick(time.now());
+            }
+        }
+    }
+
+    void write(const std::string& key, std::optional<std::string> value)
+    {
+        written.push_back({ key, std::move(value), written.size() });
+    }
+
+    test_daemon& at(const char* id) { return *daemons[id]; }
+    duration age(const char* id) { return time.now() - at(id).store.topic.asOf(); }
+    std::set<std::string> readers()
+    {
+        std::set<std::string> ids;
+        for (const auto& [id, daemon] : daemons) {
+            if (daemon->store.reading)
+                ids.insert(id);
+        }
+        return ids;
+    }
+
+    static constexpr duration step = std::chrono::milliseconds(50);
+    manual_clock time;
+    fake_network network;
+    std::map<std::string, std::unique_ptr<test_daemon>> daemons;
+    std::vector<topic_record> written;
+};
+
+using ids = std::set<std::string>;
+
+} // namespace
+
+TEST(SharedTopic, AnOlderRecordOfAKeyChangesNothing)
+{
+    recording_listener listener;
+    shared_topic topic(listener);
+    topic.apply({ "k", "new", 5 });
+    topic.apply({ "k", "old", 4 });
+    EXPECT_EQ(listener.values, (contents { { "k", "new" } }));
+}
+
+TEST(SharedTopic, PassesOnWhatTheOtherLacksAndWhatWasDropped)
+{
+    recording_listener fromListener;
+    recording_listener toListener;
+    shared_topic from(fromListener);
+    shared_topic to(toListener);
+    EXPECT_EQ(from.changeSince(0, start), std::nullopt);
+    from.apply({ "a", "1", 0 });
+    from.apply({ "b", "1", 1 });
+    from.synced(2, start);
+    to.apply(*from.changeSince(to.position(), start), start);
+    EXPECT_EQ(toListener.values, (contents { { "a", "1" }, { "b", "1" } }));
+    from.apply({ "a", std::nullopt, 2 });
+    from.apply({ "c", "1", 3 });
+    from.synced(4, start);
+    const topic_change change = *from.changeSince(to.position(), start);
+    EXPECT_EQ(change.records.size(), 2U);
+    to.apply(change, start);
+    EXPECT_EQ(toListener.values, (contents { { "b", "1" }, { "c", "1" } }));
+    EXPECT_EQ(to.position(), 4U);
+}
+
+TEST(SharedTopic, AWholeViewDropsWhatItDoesNotName)
+{
+    recording_listener fromListener;
+    recording_listener toListener;
+    shared_topic from(fromListener);
+    shared_topic to(toListener);
+    to.apply({ "gone", "1", 1 });
+    to.apply({ "newer", "1", 9 });
+    to.synced(2, start);
+    from.apply({ "kept", "1", 6 });
+    from.synced(7, start);
+    to.apply(*from.changeSince(to.position(), start), start);
+    EXPECT_EQ(toListener.values, (contents { { "kept", "1" }, { "newer", "1" } }));
+}
+
+TEST(SharedTopic, AViewIsAsOldAsItsSenderSaysFromTheTimeItWasAskedFor)
+{
+    recording_listener listener;
+    shared_topic topic(listener);
+    topic.apply(topic_change { false, 3, std::chrono::seconds(1), {} }, start);
+    EXPECT_EQ(topic.asOf(), start - std::chrono::seconds(1));
+    topic.apply(topic_change { false, 2, std::chrono::seconds(0), {} }, start + std::chrono::seconds(9));
+    EXPECT_EQ(topic.asOf(), start - std::chrono::seconds(1)) << "a daemon that is behind knows nothing newer";
+}
+
+TEST(ViewMessage, ReadsWhatItHasWrittenAndRefusesTheRest)
+{
+    const view_request request { { 1, 2 },
+        { { instance_id("d"), 7, service_name("s"), version_name("v"), std::chrono::seconds(3), { 1, 2, 3 },
+            { 4, 5, 6 }, 7 } } };
+    EXPECT_EQ(decodeViewRequest(encodeViewRequest(request)), request);
+    const view_reply reply { { { true, 9, std::chrono::seconds(2), { { "k", "v", 3 }, { "d", std::nullopt, 4 } } } },
+        request.reports };
+    const std::string bytes = encodeViewReply(reply);
+    EXPECT_EQ(decodeViewReply(bytes), reply);
+    for (size_t length = 0; length + 1 < bytes.size(); ++length)
+        EXPECT_THROW(decodeViewReply(bytes.substr(0, length)), view_message_error) << length;
+    EXPECT_THROW(decodeViewReply(std::string(64, '\xff')), view_message_error);
+}
+
+TEST_F(ViewSharingTest, OneDaemonOfAFailureDomainReadsForTheOthers)
+{
+    write("config", "1");
+    run(std::chrono::seconds(3));
+    EXPECT_EQ(readers(), (ids { "a1", "b1" }));
+    write("config", "2");
+    write("extra", "1");
+    run(std::chrono::milliseconds(600));
+    for (const auto& [id, daemon] : daemons) {
+        EXPECT_EQ(daemon->store.listener.values, (contents { { "config", "2" }, { "extra", "1" } })) << id;
+        EXPECT_LT(age(id.c_str()), std::chrono::seconds(1)) << id;
+    }
+}
+
+TEST_F(ViewSharingTest, AReaderThatGoesDownOrFallsSilentIsReplacedAtOnce)
+{
+    write("config", "1");
+    run(std::chrono::seconds(3));
+    network.down.insert(at("a1").listed.address);
+    network.silent.insert(at("b1").listed.address);
+    run(std::chrono::seconds(2));
+    EXPECT_TRUE(at("a2").store.reading);
+    EXPECT_TRUE(at("b2").store.reading);
+    EXPECT_EQ(at("a3").sharing.upstream(), instance_id("a2"));
+    write("config", "2");
+    run(std::chrono::seconds(1));
+    EXPECT_EQ(at("a3").store.listener.values, (contents { { "config", "2" } }));
+    EXPECT_EQ(at("b2").store.listener.values, (contents { { "config", "2" } }));
+    network.down.clear();
+    network.silent.clear();
+    run(std::chrono::seconds(70));
+    EXPECT_EQ(readers(), (ids { "a1", "b1" }));
+}
+
+// Pattern: the store turns some daemons away and serves the others.
+TEST_F(ViewSharingTest, ADaemonThatTheStoreTurnsAwayLearnsFromAnyOther)
+{
+    write("config", "1");
+    run(std::chrono::seconds(3));
+    for (const char* id : { "a1", "a2", "a3" })
+        at(id).storeWorks = false;
+    write("config", "2");
+    run(std::chrono::seconds(12));
+    for (const char* id : { "a1", "a2", "a3" }) {
+        EXPECT_EQ(at(id).store.listener.values, (contents { { "config", "2" } })) << id;
+        EXPECT_LT(age(id), std::chrono::milliseconds(4500)) << id;
+    }
+}
+
+TEST_F(ViewSharingTest, NobodyMakesAViewYoungerThanItIs)
+{
+    write("config", "1");
+    run(std::chrono::seconds(3));
+    for (const auto& [id, daemon] : daemons)
+        daemon->storeWorks = false;
+    run(std::chrono::seconds(10));
+    for (const auto& [id, daemon] : daemons)
+        EXPECT_GE(age(id.c_str()), std::chrono::seconds(10)) << id;
+}
+
+} // namespace pollen
