Drop the view of a peer sooner, and test the adapter and the whole path

The wiring of the relay is a library of its own. New tests: codecs of platform/ with fault cases, a stand-in for the store, and the whole path over sockets (what runs again and what its caller hears for each way in which a server fails, resumed streams, larger models, cancelled work, keys while the store is away, lost answers to the write of a roll-out).

AConfigurationIsInForceInTime... fails with the limits from before.

--- /dev/null
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -0,0 +1,90 @@
+#include "platform_relay.h"
+
+namespace pollen {
+
+namespace {
+
+constexpr duration sweepInterval = std::chrono::seconds(1);
+// Keys are refused this long before the limit, so that a request on its way to a server does not pass it.
+constexpr duration revocationMargin = std::chrono::milliseconds(400);
+// Time that a read of the store may take beyond its wait before its view counts as lost: less for other daemons, which
+// can read it themselves.
+constexpr duration peerAgeMargin = std::chrono::milliseconds(500);
+constexpr duration storeAgeMargin = std::chrono::milliseconds(1000);
+// The platform's settings hold no secret that only daemons know; the tag of a frame only shows that it is whole.
+constexpr const char* peerSecret = "pollenroute";
+// Repeats that one daemon may save up.
+constexpr double retryReserve = 8;
+// Part of the fleet's share of repeats that a daemon uses of its own requests.
+constexpr double retryShareOfBound = 0.9;
+constexpr double logLinesPerSecond = 10;
+constexpr double failureLogLinesPerSecond = 50;
+
+std::optional<duration> keyLifetime(const node_settings& settings)
+{
+    if (!settings.revocationLimit)
+        return std::nullopt;
+    return *settings.revocationLimit - revocationMargin;
+}
+
+view_sharing::age_limits ageLimits(const node_settings& settings)
+{
+    const duration wait = platform_store::configurationWait(settings);
+    return { wait + peerAgeMargin, wait + storeAgeMargin };
+}
+
+} // namespace
+
+platform_relay::platform_relay(event_loop& loop, const node_settings& settings, logger& log, const clock& time)
+    : m_log(log)
+    , m_time(time)
+    , m_random(std::random_device()())
+    , m_client(loop)
+    , m_store(
+          loop, m_client, settings, { settings.id, settings.failureDomain, settings.peers }, *this, m_random, time, log)
+    , m_state(keyLifetime(settings))
+    , m_rolloutSystem(m_rollouts, m_store, settings.id, static_cast<uint64_t>(time.wallMilliseconds()), log)
+    , m_exchange(loop, settings.peers, peerSecret, log)
+    , m_sharing(
+          { settings.id, settings.failureDomain }, ageLimits(settings), m_store, m_rolloutSystem, m_exchange, time, log)
+    , m_sessions(settings.sessionIdle)
+    , m_servers(m_random)
+    , m_retries(settings.retryShare * retryShareOfBound, retryReserve)
+    , m_logBudget(logLinesPerSecond)
+    , m_failureLogBudget(failureLogLinesPerSecond)
+    , m_shared { loop, time, m_random, log, m_client, m_protocol, settings.failureDomain, m_state, m_rollouts,
+        m_rolloutSystem, m_sessions, m_servers, m_crashes, m_retries, m_metrics, m_logBudget, m_failureLogBudget,
+        m_usualLatency }
+    , m_gateway(m_shared)
+{
+}
+
+void platform_relay::tick(time_point now)
+{
+    m_sharing.tick(now);
+    m_rolloutSystem.tick(now);
+    if (now < m_nextSweep)
+        return;
+    m_nextSweep = now + sweepInterval;
+    m_state.servers().sweep();
+    m_sessions.sweep(now);
+    m_crashes.sweep(now);
+}
+
+void platform_relay::onConfiguration(relay_configuration configuration)
+{
+    const uint64_t version = configuration.version;
+    const size_t routes = configuration.routes.size();
+    const bool installed = m_state.install(std::move(configuration));
+    m_log.write(log_level::Info, "configuration",
+        { { "version", version }, { "routes", static_cast<int64_t>(routes) },
+            { "outcome", installed ? "in_force" : "older_than_in_force" } });
+}
+
+void platform_relay::onServers(const std::vector<listed_server>& list)
+{
+    m_state.servers().replaceListed(list);
+    m_state.setServersKnown();
+}
+
+} // namespace pollen
--- /dev/null
+++ b/apps/pollenrouted/platform_relay.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <adapter/platform_protocol.h>
+#include <adapter/platform_store.h>
+#include <peer/tcp_state_exchange.h>
+#include <relay/relay_gateway.h>
+#include <relay/view_sharing.h>
+
+namespace pollen {
+
+// The relay of one instance, fed by the platform's store and by other daemons, without the sockets of its callers.
+class platform_relay final : private platform_store::listener {
+public:
+    // Binds the address for other daemons; throws system_error.
+    platform_relay(event_loop& loop, const node_settings& settings, logger& log, const clock& time);
+
+    // Begins to learn about the fleet.
+    void start() { m_store.start(); }
+    void tick(time_point now);
+
+    relay_gateway& gateway() { return m_gateway; }
+    const relay_metrics& metrics() const { return m_metrics; }
+    const relay_state& state() const { return m_state; }
+
+private:
+    void onConfiguration(relay_configuration configuration) override;
+    void onConfigurationKnown(time_point asOf) override { m_state.setConfigurationKnown(asOf); }
+    void onServers(const std::vector<listed_server>& list) override;
+    void onRolloutOrder(const rollout_order& order) override { m_rollouts.order(order, m_time.now()); }
+    void onRolloutStatus(const rollout_status& status) override { m_rollouts.status(status); }
+    void onRolloutReport(const rollout_report& report) override { m_rolloutSystem.hear(report, m_time.now()); }
+
+    logger& m_log;
+    const clock& m_time;
+    random_source m_random;
+    http_client m_client;
+    platform_store m_store;
+    relay_state m_state;
+    rollout_table m_rollouts;
+    rollout_system m_rolloutSystem;
+    tcp_state_exchange m_exchange;
+    view_sharing m_sharing;
+    session_versions m_sessions;
+    placement m_servers;
+    crash_watch m_crashes;
+    retry_budget m_retries;
+    relay_metrics m_metrics;
+    log_budget m_logBudget;
+    log_budget m_failureLogBudget;
+    std::map<std::string, double> m_usualLatency;
+    platform_protocol m_protocol;
+    relay_dependencies m_shared;
+    relay_gateway m_gateway;
+    time_point m_nextSweep {};
+};
+
+} // namespace pollen
--- a/libs/relay/include/relay/view_sharing.h
+++ b/libs/relay/include/relay/view_sharing.h
@@ -19,8 +19,14 @@
         failure_domain_name failureDomain;
     };
 
-    view_sharing(identity self, fleet_store& store, rollout_system& rollouts, state_exchange& exchange,
-        const clock& time, logger& log);
+    // A view that is older shows that its holder has lost its source.
+    struct age_limits {
+        duration ofPeers { 0 };
+        duration ofStore { 0 };
+    };
+
+    view_sharing(identity self, age_limits limits, fleet_store& store, rollout_system& rollouts,
+        state_exchange& exchange, const clock& time, logger& log);
 
     void tick(time_point now) override;
 
@@ -43,6 +49,7 @@
     };
 
     identity m_self;
+    age_limits m_limits;
     fleet_store& m_store;
     rollout_system& m_rollouts;
     state_exchange& m_exchange;
--- a/libs/relay/src/view_sharing.cpp
+++ b/libs/relay/src/view_sharing.cpp
@@ -6,23 +6,20 @@
 
 namespace {
 
-constexpr duration askInterval = std::chrono::milliseconds(400);
+constexpr duration askInterval = std::chrono::milliseconds(250);
 // A daemon that has not answered by then is taken for silent; within a failure domain answers take a few milliseconds.
-constexpr duration answerTimeout = std::chrono::milliseconds(400);
+constexpr duration answerTimeout = std::chrono::milliseconds(250);
 constexpr duration firstPenalty = std::chrono::seconds(2);
 constexpr uint32_t mostDoublings = 4;
 // Daemons before this one that are tried before it reads the store itself.
-constexpr size_t mostCandidates = 3;
-// A view that is older shows that its holder has lost the store, too.
-constexpr duration oldestView = std::chrono::milliseconds(3200);
-// The store's own followers bring news about once a second; a view that is older has lost them.
-constexpr duration lostStore = std::chrono::milliseconds(2800);
+constexpr size_t mostCandidates = 2;
 
 } // namespace
 
-view_sharing::view_sharing(identity self, fleet_store& store, rollout_system& rollouts, state_exchange& exchange,
-    const clock& time, logger& log)
+view_sharing::view_sharing(identity self, age_limits limits, fleet_store& store, rollout_system& rollouts,
+    state_exchange& exchange, const clock& time, logger& log)
     : m_self(std::move(self))
+    , m_limits(limits)
     , m_store(store)
     , m_rollouts(rollouts)
     , m_exchange(exchange)
@@ -61,7 +58,7 @@
         if (++candidates == mostCandidates)
             break;
     }
-    if (viewAge(now) < lostStore || daemons.empty())
+    if (viewAge(now) < m_limits.ofStore || daemons.empty())
         return std::nullopt;
     for (size_t i = 0; i < daemons.size(); ++i) {
         const listed_peer& daemon = daemons[++m_turn % daemons.size()];
@@ -120,7 +117,7 @@
         return;
     }
     const std::vector<shared_topic*> topics = m_store.topics();
-    if (reply.changes.size() != topics.size() || reply.changes.front().age > oldestView) {
+    if (reply.changes.size() != topics.size() || reply.changes.front().age > m_limits.ofPeers) {
         fail(peer, "view too old", now);
         return;
     }
--- a/libs/relay/tests/view_sharing_test.cpp
+++ b/libs/relay/tests/view_sharing_test.cpp
@@ -81,7 +81,9 @@
         : listed { instance_id(id), failure_domain_name(domain), { "127.0.0.1", port } }
         , rollouts(table, store, listed.id, 1, log)
         , exchange(network, listed.address)
-        , sharing({ listed.id, listed.failureDomain }, store, rollouts, exchange, time, log)
+        , sharing({ listed.id, listed.failureDomain },
+              { std::chrono::milliseconds(1300), std::chrono::milliseconds(1800) }, store, rollouts, exchange, time,
+              log)
     {
     }
 
@@ -273,6 +275,19 @@
     }
 }
 
+// Pattern: the reader of a failure domain is cut off from the store just before a configuration is written, and the
+// others have to have it within two seconds.
+TEST_F(ViewSharingTest, AConfigurationIsInForceInTimeWhereTheReaderHasLostTheStore)
+{
+    write("config", "1");
+    run(std::chrono::seconds(3));
+    at("a1").storeWorks = false;
+    write("config", "2");
+    run(std::chrono::milliseconds(1900));
+    for (const char* id : { "a2", "a3" })
+        EXPECT_EQ(at(id).store.listener.values, (contents { { "config", "2" } })) << id;
+}
+
 TEST_F(ViewSharingTest, NobodyMakesAViewYoungerThanItIs)
 {
     write("config", "1");
--- /dev/null
+++ b/standins/tests/relay_path_test.cpp
@@ -0,0 +1,362 @@
+#include <base/json_logger.h>
+#include <gtest/gtest.h>
+#include <platform_relay.h>
+#include <standins/store_standin.h>
+
+namespace pollen {
+
+namespace {
+
+constexpr duration patience = std::chrono::seconds(8);
+
+const char* configurationText = R"({"version":VERSION,"routes":[
+{"name":"stream","host":"h.example","path-prefix":"/s/","kind":"streaming","timeout-ms":4000,"goal-ms":3000,
+"sizes":["small","large"],"service":"advice","max-attempts":3,"sticky":true,"resumable":true},
+{"name":"order","host":"h.example","path-prefix":"/o/","kind":"non_idempotent","timeout-ms":2000,"service":"desk",
+"max-attempts":3},
+{"name":"read","host":"h.example","path-prefix":"/r/","kind":"idempotent","timeout-ms":2000,"service":"desk",
+"max-attempts":2},
+{"name":"open","host":"h.example","path-prefix":"/open/","kind":"idempotent","timeout-ms":2000,"service":"desk",
+"max-attempts":2,"public":true}],
+"services":[{"name":"advice","max-conns":100,"engine":{"slots":64,"kv-capacity":100000}},
+{"name":"desk","max-conns":100}],"tenants":[{"name":"team","api-keys":[KEYS]}]})";
+
+std::string replaced(std::string text, const std::string& what, const std::string& with)
+{
+    return text.replace(text.find(what), what.size(), with);
+}
+
+std::string configuration(int version, const std::string& keys = "\"key\"")
+{
+    return replaced(replaced(configurationText, "VERSION", std::to_string(version)), "KEYS", keys);
+}
+
+// What a backend server does with the requests that it gets, one after the other; the last one repeats.
+using behaviour = std::function<void(const std::shared_ptr<server_request>&)>;
+
+class backend_standin {
+public:
+    backend_standin(event_loop& loop, std::vector<behaviour> script)
+        : m_script(std::move(script))
+        , m_server(std::make_unique<http_server>(loop, endpoint { "127.0.0.1", 0 }, http_server_limits {},
+              [this](const std::shared_ptr<server_request>& request) { handle(request); }))
+    {
+    }
+
+    const endpoint& address() const { return m_server->address(); }
+    const std::vector<http_request>& requests() const { return m_requests; }
+    std::string header(size_t request, const char* name) const
+    {
+        return std::string(findHeader(m_requests.at(request).headers, name));
+    }
+    std::vector<std::shared_ptr<server_request>> held;
+    size_t hungUp = 0;
+
+private:
+    void handle(const std::shared_ptr<server_request>& request)
+    {
+        const size_t turn = std::min(m_requests.size(), m_script.size() - 1);
+        m_requests.push_back(request->request());
+        m_script[turn](request);
+        held.push_back(request);
+        request->setHangUpCallback([this] { ++hungUp; });
+    }
+
+    std::vector<behaviour> m_script;
+    std::vector<http_request> m_requests;
+    std::unique_ptr<http_server> m_server;
+};
+
+http_headers answerHeaders(const server_request& request, http_headers more = {})
+{
+    more.emplace_back(
+        "Pollenroute-Request-Id", std::string(findHeader(request.request().headers, "Pollenroute-Request-Id")));
+    more.emplace_back("Pollenroute-Response-Seal", "seal");
+    return more;
+}
+
+behaviour answers(int status, const std::string& body, http_headers more = {})
+{
+    return [=](const std::shared_ptr<server_request>& request) {
+        request->reply(status, answerHeaders(*request, more), body);
+    };
+}
+
+std::string event(int id) { return "id: " + std::to_string(id) + "\ndata: " + std::to_string(id) + "\n\n"; }
+
+// Sends the events of a stream after the caller's last one, and breaks off within the event behind the last.
+behaviour streams(int last, bool complete, http_headers more = {})
+{
+    return [=](const std::shared_ptr<server_request>& request) {
+        const std::string since(findHeader(request->request().headers, "Last-Event-Id"));
+        request->startStream(200, answerHeaders(*request, more));
+        for (int id = since.empty() ? 1 : std::atoi(since.c_str()) + 1; id <= last; ++id)
+            request->sendPart(event(id));
+        if (complete) {
+            request->endStream();
+            return;
+        }
+        request->sendPart("id: 99\nda");
+        request->callWhenSent([request] { request->abort(); });
+    };
+}
+
+const behaviour hangs = [](const std::shared_ptr<server_request>&) {};
+const behaviour breaksOff = [](const std::shared_ptr<server_request>& request) { request->abort(); };
+const behaviour isFull = answers(503, "full", { { "Pollenroute-Not-Executed", "1" } });
+const behaviour hasMoved = answers(421, "", {});
+
+class RelayPathTest : public testing::Test {
+protected:
+    void SetUp() override { m_ticker.startRepeating(std::chrono::milliseconds(10)); }
+
+    void start(int version = 1)
+    {
+        m_store.put("keyed.op", "config", configuration(version));
+        m_relay.start();
+        EXPECT_TRUE(m_loop.runUntil([&] { return m_relay.gateway().ready(); }, patience));
+    }
+
+    void list(const char* id, const char* service, const backend_standin& backend, const char* state = "ready",
+        const char* version = "v1")
+    {
+        const nlohmann::json entry { { "service", service }, { "address", backend.address().text() }, { "zone", "a" },
+            { "version", version }, { "slots", 6 }, { "state", state }, { "seq", 1 } };
+        m_store.put("keyed.servers", id, entry.dump());
+    }
+
+    // A caller's request; the last header of a name wins.
+    static http_request request(const char* method, const char* target, http_headers more = {})
+    {
+        http_request message { method, target, std::move(more), "" };
+        message.headers.emplace_back("Host", "h.example");
+        message.headers.emplace_back("Pollenroute-Request-Id", "id-1");
+        message.headers.emplace_back("Pollenroute-Deadline-Ms", "1500");
+        message.headers.emplace_back("Pollenroute-Key", "key");
+        return message;
+    }
+
+    struct answer {
+        exchange_result result;
+        http_response response;
+    };
+    answer send(const http_request& message)
+    {
+        std::optional<answer> got;
+        m_caller.fetch(m_front.address(), message, {}, [&](const exchange_result& result, const http_response& reply) {
+            got = answer { result, reply };
+        });
+        EXPECT_TRUE(m_loop.runUntil([&] { return got.has_value(); }, patience));
+        return got.value_or(answer {});
+    }
+
+    // Until the condition holds; false when it never does.
+    bool eventually(const std::function<bool()>& condition) { return m_loop.runUntil(condition, patience); }
+
+    event_loop m_loop;
+    null_logger m_log;
+    os_clock m_time;
+    store_standin m_store { m_loop, { "127.0.0.1", 0 } };
+    node_settings m_settings { instance_id("d1"), failure_domain_name("a"), { "127.0.0.1", 0 }, { "127.0.0.1", 0 },
+        m_store.address(), { "127.0.0.1", 0 }, std::chrono::seconds(2), std::chrono::milliseconds(300),
+        std::chrono::seconds(8), std::chrono::milliseconds(1500), std::chrono::seconds(5), 0.9 };
+    platform_relay m_relay { m_loop, m_settings, m_log, m_time };
+    http_server m_front { m_loop, { "127.0.0.1", 0 }, {},
+        [this](const std::shared_ptr<server_request>& message) { m_relay.gateway().handle(message); } };
+    http_client m_caller { m_loop };
+    timer m_ticker { m_loop, [this] { m_relay.tick(m_time.now()); } };
+};
+
+} // namespace
+
+TEST_F(RelayPathTest, PassesARequestOnAndItsAnswerBack)
+{
+    backend_standin desk(m_loop, { answers(200, "done", { { "X-Other", "kept" } }) });
+    list("i-1", "desk", desk);
+    start();
+    const auto [result, response] = send(request("GET", "/r/x?y=z"));
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(response.body, "done");
+    EXPECT_EQ(findHeader(response.headers, "Pollenroute-Response-Seal"), "seal");
+    EXPECT_EQ(findHeader(response.headers, "X-Other"), "kept");
+    ASSERT_EQ(desk.requests().size(), 1U);
+    EXPECT_EQ(desk.requests()[0].target, "/r/x?y=z");
+    EXPECT_EQ(desk.header(0, "Pollenroute-Expect-Instance"), "i-1");
+    EXPECT_EQ(desk.header(0, "Pollenroute-Tenant"), "team");
+    EXPECT_EQ(desk.header(0, "Pollenroute-Key"), "");
+    EXPECT_EQ(desk.header(0, "Host"), "h.example");
+    EXPECT_LE(std::stoi(desk.header(0, "Pollenroute-Deadline-Ms")), 1500);
+}
+
+TEST_F(RelayPathTest, RefusesWhatTheConfigurationDoesNotAllow)
+{
+    backend_standin desk(m_loop, { answers(200, "done") });
+    list("i-1", "desk", desk);
+    start();
+    http_request unknown = request("GET", "/nowhere/");
+    EXPECT_EQ(send(unknown).response.status, 404);
+    http_request stranger { "GET", "/r/x", { { "Host", "h.example" }, { "Pollenroute-Request-Id", "id" } }, "" };
+    EXPECT_EQ(send(stranger).response.status, 401);
+    stranger.target = "/open/x";
+    EXPECT_EQ(send(stranger).response.status, 200);
+    EXPECT_EQ(desk.requests().size(), 1U);
+}
+
+// Whether a request runs again, and what its caller hears, for each way in which a server fails.
+TEST_F(RelayPathTest, RepeatsWhatMayBeRepeatedAndTellsTheTruthAboutTheRest)
+{
+    struct failure {
+        const char* what;
+        behaviour first;
+        const char* path;
+        int status;
+        size_t sends;
+    };
+    const behaviour fails = answers(500, "failed");
+    const std::vector<failure> cases {
+        { "full, read", isFull, "/r/x", 200, 2 },
+        { "full, order", isFull, "/o/x", 200, 2 },
+        { "another instance, order", hasMoved, "/o/x", 200, 2 },
+        { "breaks off, read", breaksOff, "/r/x", 200, 2 },
+        { "breaks off, order", breaksOff, "/o/x", 502, 1 },
+        { "fails, read", fails, "/r/x", 200, 2 },
+        { "fails, order", fails, "/o/x", 500, 1 },
+        { "503 without a word of not running, order", answers(503, "?"), "/o/x", 503, 1 },
+        { "hangs, order", hangs, "/o/x", 504, 1 },
+    };
+    int server = 0;
+    start();
+    for (const failure& expected : cases) {
+        backend_standin one(m_loop, { expected.first, answers(200, "done") });
+        const std::string id = "i-" + std::to_string(++server);
+        list(id.c_str(), "desk", one);
+        ASSERT_TRUE(eventually([&] { return m_relay.state().servers().find(instance_id(id)).has_value(); }));
+        const auto [result, response] = send(request(expected.path[1] == 'r' ? "GET" : "POST", expected.path));
+        EXPECT_EQ(response.status, expected.status) << expected.what;
+        EXPECT_EQ(one.requests().size(), expected.sends) << expected.what;
+        m_store.put("keyed.servers", id, std::nullopt);
+        ASSERT_TRUE(eventually([&] { return !m_relay.state().servers().find(instance_id(id)).has_value(); }));
+    }
+}
+
+TEST_F(RelayPathTest, ARefusalSaysThatNothingRanAndWhenToReturn)
+{
+    backend_standin full(m_loop, { isFull });
+    list("i-1", "desk", full);
+    start();
+    const auto [result, response] = send(request("POST", "/o/x"));
+    EXPECT_EQ(response.status, 503);
+    EXPECT_NE(response.body.find("not_run"), std::string::npos);
+    EXPECT_GT(std::stod(std::string(findHeader(response.headers, "Retry-After"))), 0);
+}
+
+TEST_F(RelayPathTest, AStreamIsContinuedElsewhereAfterItsLastWholeEvent)
+{
+    // Whichever server is asked first breaks off after the third event.
+    int asked = 0;
+    const behaviour either = [&](const std::shared_ptr<server_request>& request) {
+        (asked++ == 0 ? streams(3, false) : streams(6, true))(request);
+    };
+    backend_standin one(m_loop, { either });
+    backend_standin other(m_loop, { either });
+    list("i-1", "advice", one);
+    list("i-2", "advice", other);
+    start();
+    const auto [result, response] = send(request("POST", "/s/x"));
+    EXPECT_TRUE(result.ok());
+    std::string events;
+    for (int id = 1; id <= 6; ++id)
+        events += event(id);
+    EXPECT_EQ(response.body, events);
+    EXPECT_EQ(one.requests().size(), 1U);
+    EXPECT_EQ(other.requests().size(), 1U);
+}
+
+TEST_F(RelayPathTest, TheLargestModelAnswersWhereASmallerOneDoubtsItself)
+{
+    backend_standin engine(m_loop,
+        { streams(2, true, { { "Pollenroute-Confidence", "20" } }),
+            streams(4, true, { { "Pollenroute-Confidence", "95" } }) });
+    list("i-1", "advice", engine);
+    start();
+    const http_request any = request("POST", "/s/x", { { "Pollenroute-Model", "*" } });
+    EXPECT_EQ(send(any).response.body, event(1) + event(2) + event(3) + event(4));
+    ASSERT_EQ(engine.requests().size(), 2U);
+    EXPECT_EQ(engine.header(0, "Pollenroute-Model"), "small");
+    EXPECT_EQ(engine.header(1, "Pollenroute-Model"), "large");
+}
+
+TEST_F(RelayPathTest, WorkForACallerThatHasLeftIsCancelled)
+{
+    backend_standin engine(m_loop, { hangs });
+    list("i-1", "advice", engine);
+    start();
+    exchange_options impatient;
+    impatient.timeout = std::chrono::milliseconds(100);
+    m_caller.fetch(m_front.address(), request("POST", "/s/x"), impatient, [](auto&, auto&) {});
+    EXPECT_TRUE(eventually([&] { return engine.hungUp == 1; }));
+    EXPECT_EQ(m_relay.gateway().openRequests(), 0U);
+}
+
+TEST_F(RelayPathTest, ALeavingServerGetsNothingMoreAndAnUnreadableEntryNamesNoServer)
+{
+    backend_standin leaving(m_loop, { answers(200, "old") });
+    backend_standin staying(m_loop, { answers(200, "new") });
+    list("i-1", "desk", leaving, "draining");
+    list("i-2", "desk", staying);
+    m_store.put("keyed.servers", "i-3", "\xff nonsense");
+    start();
+    for (int i = 0; i < 10; ++i)
+        EXPECT_EQ(send(request("GET", "/r/x")).response.body, "new");
+}
+
+TEST_F(RelayPathTest, AConfigurationInForceNeverRevertsAlsoWhenHistoryIsDropped)
+{
+    backend_standin desk(m_loop, { answers(200, "done") });
+    list("i-1", "desk", desk);
+    start(5);
+    m_store.put("keyed.op", "config", configuration(9, "\"other\""));
+    const auto version = [&] { return m_relay.state().configuration()->configuration().version; };
+    ASSERT_TRUE(eventually([&] { return version() == 9; }));
+    EXPECT_EQ(send(request("GET", "/r/x")).response.status, 401);
+    m_store.put("keyed.op", "config", configuration(7));
+    m_store.set("forget", 1);
+    m_store.put("keyed.op", "rollout/desk", R"({"service":"desk","target":"v2","duration-s":1})");
+    ASSERT_TRUE(eventually([&] { return m_store.newest("keyed.status", "rollout/desk").has_value(); }));
+    EXPECT_EQ(version(), 9U);
+}
+
+TEST_F(RelayPathTest, KeysAreNotHonouredOnceTheStoreHasBeenAwayForTooLong)
+{
+    for (const int64_t outage : { 1, 2 }) {
+        backend_standin desk(m_loop, { answers(200, "done") });
+        list("i-1", "desk", desk);
+        if (outage == 1)
+            start();
+        ASSERT_TRUE(eventually([&] { return send(request("GET", "/r/x")).response.status == 200; }));
+        m_store.set("outage", outage);
+        ASSERT_TRUE(eventually([&] { return !m_relay.gateway().ready(); }));
+        EXPECT_EQ(send(request("GET", "/r/x")).response.status, 503);
+        EXPECT_EQ(send(request("GET", "/open/x")).response.status, 200) << "no key is needed there";
+        m_store.set("outage", 0);
+        EXPECT_TRUE(eventually([&] { return m_relay.gateway().ready(); }));
+        m_store.put("keyed.servers", "i-1", std::nullopt);
+    }
+}
+
+TEST_F(RelayPathTest, ARolloutIsCompletedAlsoWhenTheAnswerToTheWriteIsLost)
+{
+    backend_standin oldDesk(m_loop, { answers(200, "old") });
+    backend_standin newDesk(m_loop, { answers(200, "new") });
+    list("i-1", "desk", oldDesk);
+    list("i-2", "desk", newDesk, "ready", "v2");
+    m_store.put("keyed.op", "rollout/desk", R"({"service":"desk","target":"v2","duration-s":2})");
+    start();
+    EXPECT_EQ(send(request("GET", "/r/x")).response.body, "old");
+    m_store.set("lose_answers", 3);
+    ASSERT_TRUE(eventually([&] { return m_store.newest("keyed.status", "rollout/desk").has_value(); }));
+    EXPECT_NE(m_store.newest("keyed.status", "rollout/desk")->find("complete"), std::string::npos);
+    EXPECT_EQ(send(request("GET", "/r/x")).response.body, "new");
+}
+
+} // namespace pollen
