Count only runs against a route's attempts, and escalate less while answers begin late

Change: attempts that reach no server or are turned away are bounded apart; a server that refuses connections stays out for 1.5 s; the smallest model answers when the largest cannot be had; the largest is asked only when expected within the objective, and below a confidence that falls while answers begin late.

--- a/apps/pollenrouted/platform_relay.h
+++ b/apps/pollenrouted/platform_relay.h
@@ -43,6 +43,7 @@
     session_versions m_sessions;
     placement m_servers;
     crash_watch m_crashes;
+    escalation_control m_escalation;
     retry_budget m_retries;
     relay_metrics m_metrics;
     log_budget m_logBudget;
--- a/libs/fleet/include/fleet/server_table.h
+++ b/libs/fleet/include/fleet/server_table.h
@@ -63,6 +63,8 @@
     // Takes the server out of choice for a time that doubles with each failure in a row. Failures while it is out count
     // with the one that took it out.
     void reportFailure(server_handle server, time_point now);
+    // Nothing answers at the server's address: it stays out for longer, because it is rarely back within moments.
+    void reportUnreachable(server_handle server, time_point now);
 
 private:
     server_handle add(const server_entry& entry);
--- a/libs/fleet/src/server_table.cpp
+++ b/libs/fleet/src/server_table.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr duration firstBackoff = std::chrono::milliseconds(250);
+constexpr duration unreachableBackoff = std::chrono::milliseconds(1500);
 constexpr duration longestBackoff = std::chrono::seconds(8);
 constexpr uint32_t maximumDoublings = 5;
 
@@ -79,6 +80,13 @@
     row.unavailableUntil = now + std::min(longestBackoff, firstBackoff * (1 << doublings));
 }
 
+void server_table::reportUnreachable(server_handle server, time_point now)
+{
+    reportFailure(server, now);
+    server_row& row = m_rows[server.index];
+    row.unavailableUntil = std::max(row.unavailableUntil, now + unreachableBackoff);
+}
+
 server_handle server_table::add(const server_entry& entry)
 {
     const auto free = std::find_if(m_rows.begin(), m_rows.end(), [](const server_row& row) { return !row.used; });
--- a/libs/relay/include/relay/relay_dependencies.h
+++ b/libs/relay/include/relay/relay_dependencies.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <policy/retry_budget.h>
 #include <relay/crash_watch.h>
+#include <relay/escalation_control.h>
 #include <relay/log_budget.h>
 #include <relay/placement.h>
 #include <relay/relay_metrics.h>
@@ -31,6 +32,7 @@
     session_versions& sessions;
     placement& servers;
     crash_watch& crashes;
+    escalation_control& escalation;
     retry_budget& retries;
     relay_metrics& metrics;
     log_budget& logBudget;
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -19,14 +19,17 @@
 constexpr duration retryAfterNotReady = std::chrono::milliseconds(800);
 constexpr duration retryAfterFull = std::chrono::milliseconds(400);
 constexpr duration retryAfterSuspect = std::chrono::seconds(60);
-// Below this confidence in its own answer, a small model's answer is dropped and the largest model asked.
-constexpr double sufficientConfidence = 0.5;
 constexpr double usualLatencyWeight = 0.05;
 // An answer is slow when its first byte takes so many times as long as usual.
 constexpr double slowFactor = 3;
 constexpr double readMillisecondsPerToken = 1.0 / 16;
 constexpr double baseMilliseconds = 50;
 
+// A larger model that has been asked in vain so often, the first model included, is not asked again.
+constexpr uint32_t attemptsBeforeFallBack = 3;
+// Attempts beyond those that the route allows, for servers that are gone or full.
+constexpr uint32_t mostVainAttempts = 3;
+
 constexpr int statusOk = 200;
 constexpr int firstServerError = 500;
 constexpr int statusUnauthorized = 401;
@@ -142,7 +145,7 @@
     (onTarget ? request.onlyVersion : request.notVersion) = target;
 }
 
-placement_request relay_exchange::makePlacementRequest()
+placement_request relay_exchange::makePlacementRequest() const
 {
     placement_request request;
     uint32_t total = 0;
@@ -242,7 +245,12 @@
         m_serverAddress, m_dependencies.protocol.toServer(m_request->request(), order), options, *this);
 }
 
-bool relay_exchange::mayTryAgain() const { return m_attempts < m_route->maximumAttempts && timeLeft() > shortestSend; }
+// Attempts that reached no server, or that a server turned away, are bounded as well, but more generously.
+bool relay_exchange::mayTryAgain() const
+{
+    return m_runs < m_route->maximumAttempts && m_attempts < m_route->maximumAttempts + mostVainAttempts
+        && timeLeft() > shortestSend;
+}
 
 void relay_exchange::onHead(int status, const http_headers& headers)
 {
@@ -260,39 +268,71 @@
         m_dependencies.servers.forget(m_serverId);
     }
     const bool notRun = m_answer.notRun || m_answer.otherInstance;
-    if (!notRun)
+    if (!notRun) {
         m_run = run_knowledge::MayHaveRun;
+        ++m_runs;
+    }
     const bool failed = status >= firstServerError;
     m_discard = notRun || m_streamStarted || (failed && m_route->mayRepeat() && mayTryAgain());
     if (m_streamStarted && status == statusOk)
         m_discard = false;
-    if (!m_discard && !m_streamStarted && shouldEscalate()) {
-        escalate();
+    if (!m_discard && !m_streamStarted && tryEscalation())
         return;
-    }
     if (!m_discard && !m_streamStarted)
         m_headers = m_dependencies.protocol.toCaller(headers);
 }
 
-// The model doubts its own answer, nothing of it has reached the caller, and a larger one can still answer in time.
-bool relay_exchange::shouldEscalate() const
+// Asks the largest model when this one doubts its own answer, nothing of it has reached the caller, and the largest is
+// expected to answer within the latency objective.
+bool relay_exchange::tryEscalation()
 {
-    if (!m_traits.anyModel || m_model + 1 >= m_route->models.size() || m_status != statusOk)
+    if (!m_traits.anyModel || m_model + 1 >= m_route->models.size() || m_status != statusOk || m_anyAnswer)
         return false;
-    if (!m_answer.confidence || *m_answer.confidence >= sufficientConfidence || !mayTryAgain())
+    if (!m_answer.confidence || *m_answer.confidence >= m_dependencies.escalation.sufficientConfidence()
+        || !mayTryAgain())
         return false;
-    const duration passed = m_dependencies.time.now() - m_start;
-    return passed < m_route->latencyObjective / 2 && m_dependencies.retries.take();
+    const size_t model = std::exchange(m_model, m_route->models.size() - 1);
+    const time_point now = m_dependencies.time.now();
+    placement_request placement = makePlacementRequest();
+    placement.excluded.clear();
+    const relay_service* service = m_configuration->findService(placement.service);
+    const auto choice = service
+        ? m_dependencies.servers.choose(placement, m_dependencies.state.servers(), *service, now)
+        : std::nullopt;
+    const duration left = m_route->latencyObjective - (now - m_start);
+    const bool inTime = choice && choice->waitMilliseconds < toSeconds(left) * 1000;
+    if (!inTime || !m_dependencies.retries.take()) {
+        m_model = model;
+        return false;
+    }
+    escalate(*choice, placement);
+    return true;
 }
 
-void relay_exchange::escalate()
+void relay_exchange::escalate(const placement_choice& choice, const placement_request& placement)
 {
+    // The run is cancelled at once: it must not go on writing.
     m_exchange.reset();
     releaseServer();
-    m_model = m_route->models.size() - 1;
     m_tried.clear();
     m_lastReason = "escalated";
+    const relay_service* service = m_configuration->findService(placement.service);
+    m_dependencies.servers.remember(
+        m_dependencies.state.servers().row(choice.server).entry.id, placement, service->engine->cacheTokens);
+    send(choice, placement);
+}
+
+// Asks the smallest model again when the largest could not answer. False when that is not possible.
+bool relay_exchange::fallBack()
+{
+    if (m_model == 0 || m_anyAnswer || m_streamStarted || !m_route->mayRepeat() || !mayTryAgain())
+        return false;
+    m_anyAnswer = true;
+    m_model = 0;
+    m_tried.clear();
+    m_lastReason = "fell_back";
     attempt();
+    return true;
 }
 
 void relay_exchange::onData(std::string_view bytes)
@@ -312,6 +352,8 @@
 {
     if (!m_streamStarted) {
         m_streamStarted = true;
+        if (m_traits.anyModel)
+            m_dependencies.escalation.countAnswer(m_dependencies.time.now() - m_start <= m_route->latencyObjective);
         m_dependencies.metrics.observeFirstByte(m_route->name, m_dependencies.time.now() - m_start);
         m_request->startStream(m_status, m_headers);
     }
@@ -338,13 +380,13 @@
     const server_handle server = *m_server;
     releaseServer();
     if (m_answer.notRun || m_answer.otherInstance) {
-        tryAgain("not_run");
+        tryAgain("not_run", true);
         return;
     }
     m_dependencies.state.servers().reportSuccess(server);
     countAnswer(m_status < firstServerError);
     if (m_discard) {
-        tryAgain("server_error");
+        tryAgain("server_error", true);
         return;
     }
     finishAnswer();
@@ -379,12 +421,16 @@
     const time_point now = m_dependencies.time.now();
     const bool timedOut = result.failure == exchange_failure::TimedOut;
     server_table& servers = m_dependencies.state.servers();
-    servers.reportFailure(*m_server, now);
+    if (result.failure == exchange_failure::ConnectFailed)
+        servers.reportUnreachable(*m_server, now);
+    else
+        servers.reportFailure(*m_server, now);
     releaseServer();
     m_events.dropRest();
     m_body.clear();
     if (result.failure != exchange_failure::ConnectFailed) {
         m_run = run_knowledge::MayHaveRun;
+        m_runs += result.responseStarted ? 0 : 1;
         countAnswer(false);
         if (result.refused)
             m_dependencies.crashes.countBreak(m_fingerprint, now);
@@ -393,24 +439,29 @@
         giveUp("timed_out");
         return;
     }
-    tryAgain(toText(result.failure));
+    tryAgain(toText(result.failure), result.failure != exchange_failure::ConnectFailed);
 }
 
 // Goes on with another server if the request may run there, or ends.
-void relay_exchange::tryAgain(const char* reason)
+void relay_exchange::tryAgain(const char* reason, bool arrived)
 {
     m_lastReason = reason;
     const bool allowed = m_run == run_knowledge::NotRun || m_route->mayRepeat();
     const bool suspect = m_dependencies.crashes.isSuspect(m_fingerprint, m_dependencies.time.now());
-    if (!allowed || suspect || !mayTryAgain() || !m_dependencies.retries.take()) {
+    // What has not reached a server is no repeat.
+    const bool mayRepeat = allowed && !suspect && mayTryAgain() && (!arrived || m_dependencies.retries.take());
+    if (!mayRepeat) {
         giveUp(reason);
         return;
     }
-    attempt();
+    if (m_attempts < attemptsBeforeFallBack || !fallBack())
+        attempt();
 }
 
 void relay_exchange::giveUp(const char* reason)
 {
+    if (fallBack())
+        return;
     m_lastReason = reason;
     if (m_streamStarted) {
         m_request->abort();
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -33,7 +33,7 @@
 
     bool admit();
     void attempt();
-    placement_request makePlacementRequest();
+    placement_request makePlacementRequest() const;
     void chooseVersion(placement_request& request) const;
     uint64_t sessionKey() const;
     void send(const placement_choice& choice, const placement_request& placement);
@@ -41,9 +41,11 @@
 
     bool isStreamAnswer() const { return m_route->streaming && m_status == 200; }
     bool mayTryAgain() const;
-    bool shouldEscalate() const;
-    void escalate();
-    void tryAgain(const char* reason);
+    bool tryEscalation();
+    void escalate(const placement_choice& choice, const placement_request& placement);
+    bool fallBack();
+    // arrived: the attempt reached a server.
+    void tryAgain(const char* reason, bool arrived);
     void passEvents(const std::string& events);
     void finishAnswer();
     void onBroken(const exchange_result& result);
@@ -88,6 +90,10 @@
     size_t m_model = 0;
     std::vector<server_handle> m_tried;
     uint32_t m_attempts = 0;
+    // Attempts that have or may have run; only these count against what the route allows.
+    uint32_t m_runs = 0;
+    // A larger model was asked in vain; what the smallest one answers is passed on.
+    bool m_anyAnswer = false;
     run_knowledge m_run = run_knowledge::NotRun;
     http_headers m_headers;
     std::string m_body;
--- a/libs/relay/tests/relay_values_test.cpp
+++ b/libs/relay/tests/relay_values_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 #include <relay/crash_watch.h>
+#include <relay/escalation_control.h>
 #include <relay/event_splitter.h>
 #include <relay/log_budget.h>
 #include <relay/relay_state.h>
@@ -131,6 +132,38 @@
     EXPECT_FALSE(watch.isSuspect(1, start + std::chrono::minutes(2)));
 }
 
+// Pattern: the engines cannot keep up with the largest model for every answer that a smaller one doubts. Each
+// escalation takes as much of their time as four answers of the smallest model, and answers begin late once they are
+// overloaded.
+TEST(EscalationControl, FewerAnswersAreEscalatedWhileTheEnginesAreOverloaded)
+{
+    const auto shareLate = [](escalation_control& control, double capacity) {
+        constexpr int answers = 2000;
+        constexpr double costOfEscalation = 4;
+        constexpr double memory = 0.95;
+        double load = 0;
+        int late = 0;
+        for (int i = 0; i < answers; ++i) {
+            // Confidence is spread evenly.
+            const double confidence = static_cast<double>(i * 37 % 100) / 100;
+            const bool escalated = confidence < control.sufficientConfidence();
+            load = load * memory + (1 - memory) * (escalated ? 1 + costOfEscalation : 1);
+            const bool onTime = load <= capacity;
+            late += onTime ? 0 : 1;
+            control.countAnswer(onTime);
+        }
+        return static_cast<double>(late) / answers;
+    };
+    escalation_control control;
+    EXPECT_EQ(shareLate(control, 5), 0);
+    EXPECT_EQ(control.sufficientConfidence(), 0.5) << "with room for all, all doubted answers are escalated";
+    EXPECT_LT(shareLate(control, 1.8), 0.25);
+    EXPECT_LT(control.sufficientConfidence(), 0.4);
+    EXPECT_GT(control.sufficientConfidence(), 0.05);
+    EXPECT_EQ(shareLate(control, 5), 0);
+    EXPECT_EQ(control.sufficientConfidence(), 0.5) << "it rises again";
+}
+
 TEST(LogBudget, LinesDoNotGrowWithTheLoad)
 {
     log_budget budget(10);
--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -286,6 +286,37 @@
     EXPECT_EQ(engine.header(1, "Pollenroute-Model"), "large");
 }
 
+// Pattern: servers have crashed and their entries have not lapsed yet.
+TEST_F(RelayPathTest, ServersThatAreGoneDoNotUseUpTheAttempts)
+{
+    start();
+    for (const char* path : { "/s/x", "/o/x" }) {
+        const char* service = path[1] == 's' ? "advice" : "desk";
+        backend_standin alive(m_loop, { answers(200, "done") });
+        for (int i = 0; i < 3; ++i) {
+            const backend_standin gone(m_loop, { hangs });
+            list((std::string("gone-") + service + std::to_string(i)).c_str(), service, gone);
+        }
+        const std::string id = std::string("alive-") + service;
+        list(id.c_str(), service, alive);
+        ASSERT_TRUE(eventually([&] { return m_relay.state().servers().find(instance_id(id)).has_value(); }));
+        EXPECT_EQ(send(request("POST", path)).response.body, "done") << path;
+    }
+}
+
+TEST_F(RelayPathTest, WhereTheLargestModelFailsTheSmallestAnswers)
+{
+    const http_headers doubts { { "Pollenroute-Confidence", "20" } };
+    backend_standin engine(m_loop, { streams(2, true, doubts), isFull, isFull, streams(3, true, doubts) });
+    list("i-1", "advice", engine);
+    start();
+    const http_request any = request("POST", "/s/x", { { "Pollenroute-Model", "*" } });
+    EXPECT_EQ(send(any).response.body, event(1) + event(2) + event(3));
+    ASSERT_EQ(engine.requests().size(), 4U);
+    EXPECT_EQ(engine.header(2, "Pollenroute-Model"), "large");
+    EXPECT_EQ(engine.header(3, "Pollenroute-Model"), "small");
+}
+
 TEST_F(RelayPathTest, WorkForACallerThatHasLeftIsCancelled)
 {
     backend_standin engine(m_loop, { hangs });
