Let the daemons of a failure domain know of each other's work

Change: daemons that exchange their view of the fleet also exchange the requests and unread prompt tokens that they have under way, by server; placement counts them.

The pattern is tested without a network: DaemonsOfAFailureDomainKnowOfEachOthersWork.

--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -45,8 +45,8 @@
     , m_state(keyLifetime(settings))
     , m_rolloutSystem(m_rollouts, m_store, settings.id, static_cast<uint64_t>(time.wallMilliseconds()), log)
     , m_exchange(loop, settings.peers, peerSecret, log)
-    , m_sharing(
-          { settings.id, settings.failureDomain }, ageLimits(settings), m_store, m_rolloutSystem, m_exchange, time, log)
+    , m_sharing({ settings.id, settings.failureDomain }, ageLimits(settings), m_store, m_state.servers(),
+          m_rolloutSystem, m_exchange, time, log)
     , m_sessions(settings.sessionIdle)
     , m_servers(m_random)
     , m_retries(settings.retryShare * retryShareOfBound, retryReserve)
--- a/libs/fleet/include/fleet/server_table.h
+++ b/libs/fleet/include/fleet/server_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <base/clock.h>
 #include <config/fleet_document.h>
 #include <fleet/handles.h>
@@ -30,6 +31,9 @@
     uint32_t otherRequests = 0;
     // Prompt tokens of this daemon's requests that the server has yet to read.
     uint64_t unreadTokens = 0;
+    // Requests and unread prompt tokens of the daemons that this one exchanges its view with.
+    uint32_t peerRequests = 0;
+    uint64_t peerUnreadTokens = 0;
     // How long work takes there now, from the last load report; 1 is as usual.
     double slowdown = 1;
     uint32_t consecutiveFailures = 0;
@@ -37,7 +41,9 @@
     time_point unavailableUntil {};
 
     bool takesWork(time_point now) const { return used && !leaving && now >= unavailableUntil; }
-    uint32_t outstanding() const { return ownRequests + otherRequests; }
+    // The last load report is old; what other daemons say that they have sent may be newer.
+    uint32_t outstanding() const { return ownRequests + std::max(otherRequests, peerRequests); }
+    uint64_t unread() const { return unreadTokens + peerUnreadTokens; }
 };
 
 // The backend servers. Rows keep their handle while they are used or have requests running.
@@ -58,6 +64,9 @@
     void addUnreadTokens(server_handle server, uint64_t tokens) { m_rows[server.index].unreadTokens += tokens; }
     void removeUnreadTokens(server_handle server, uint64_t tokens) { m_rows[server.index].unreadTokens -= tokens; }
     void reportLoad(server_handle server, uint32_t allRequests, bool leaving);
+    // What other daemons have under way, to be called for each server that they name after clearPeerWork().
+    void clearPeerWork();
+    void addPeerWork(const instance_id& server, uint32_t requests, uint64_t unreadTokens);
     void reportSlowdown(server_handle server, double slowdown) { m_rows[server.index].slowdown = slowdown; }
     void reportSuccess(server_handle server) { m_rows[server.index].consecutiveFailures = 0; }
     // Takes the server out of choice for a time that doubles with each failure in a row. Failures while it is out count
--- a/libs/fleet/src/server_table.cpp
+++ b/libs/fleet/src/server_table.cpp
@@ -69,6 +69,23 @@
     row.leaving = row.leaving || leaving;
 }
 
+void server_table::clearPeerWork()
+{
+    for (server_row& row : m_rows) {
+        row.peerRequests = 0;
+        row.peerUnreadTokens = 0;
+    }
+}
+
+void server_table::addPeerWork(const instance_id& server, uint32_t requests, uint64_t unreadTokens)
+{
+    const auto known = find(server);
+    if (!known)
+        return;
+    m_rows[known->index].peerRequests += requests;
+    m_rows[known->index].peerUnreadTokens += unreadTokens;
+}
+
 void server_table::reportFailure(server_handle server, time_point now)
 {
     server_row& row = m_rows[server.index];
--- a/libs/relay/include/relay/view_message.h
+++ b/libs/relay/include/relay/view_message.h
@@ -12,12 +12,25 @@
     using error::error;
 };
 
+// Work that daemons have sent to one server and that has not shown a sign of progress yet.
+struct server_work {
+    instance_id server;
+    uint32_t requests = 0;
+    uint64_t unreadTokens = 0;
+
+    friend bool operator==(const server_work&, const server_work&) = default;
+};
+
 // Asks a daemon for what the sender lacks of its view of the fleet.
 struct view_request {
     // By topic, in the order in which all daemons keep them.
     std::vector<uint64_t> positions;
+    // The daemon that asks.
+    instance_id sender;
     // What the sender itself has seen of the roll-outs that are running.
     std::vector<rollout_report> reports;
+    // What the sender itself has under way.
+    std::vector<server_work> work;
 
     friend bool operator==(const view_request&, const view_request&) = default;
 };
@@ -27,6 +40,8 @@
     std::vector<topic_change> changes;
     // What all daemons together have seen of the roll-outs that are running.
     std::vector<rollout_report> totals;
+    // What the other daemons of the group have under way.
+    std::vector<server_work> work;
 
     friend bool operator==(const view_reply&, const view_reply&) = default;
 };
--- a/libs/relay/include/relay/view_sharing.h
+++ b/libs/relay/include/relay/view_sharing.h
@@ -2,10 +2,12 @@
 
 #include <base/logger.h>
 #include <fleet/fleet_system.h>
+#include <fleet/server_table.h>
 #include <memory>
 #include <peer/state_exchange.h>
 #include <relay/fleet_store.h>
 #include <relay/rollout_system.h>
+#include <relay/view_message.h>
 
 namespace pollen {
 
@@ -25,7 +27,8 @@
         duration ofStore { 0 };
     };
 
-    view_sharing(identity self, age_limits limits, fleet_store& store, rollout_system& rollouts,
+    // servers: where the work of other daemons is entered.
+    view_sharing(identity self, age_limits limits, fleet_store& store, server_table& servers, rollout_system& rollouts,
         state_exchange& exchange, const clock& time, logger& log);
 
     void tick(time_point now) override;
@@ -42,6 +45,16 @@
     void setUpstream(const instance_id& peer);
     std::string answer(const std::string& bytes);
     duration viewAge(time_point now) const;
+    std::vector<server_work> ownWork() const;
+    // The work of all daemons of the group but one, this daemon's own included.
+    std::vector<server_work> workBeside(const instance_id& daemon, time_point now) const;
+    void enterWork(const std::vector<server_work>& work);
+
+    // What a daemon that asks this one has under way.
+    struct member_work {
+        std::vector<server_work> work;
+        time_point heard;
+    };
 
     struct penalty {
         time_point until;
@@ -51,12 +64,15 @@
     identity m_self;
     age_limits m_limits;
     fleet_store& m_store;
+    server_table& m_servers;
     rollout_system& m_rollouts;
     state_exchange& m_exchange;
     const clock& m_time;
     logger& m_log;
     instance_id m_upstream;
     std::map<instance_id, penalty> m_penalties;
+    std::map<instance_id, member_work> m_members;
+    time_point m_nextEntry {};
     // The request that is under way.
     uint64_t m_asking = 0;
     std::optional<listed_peer> m_asked;
--- a/libs/relay/src/placement.cpp
+++ b/libs/relay/src/placement.cpp
@@ -85,7 +85,7 @@
             continue;
         }
         entry.unread = request.promptTokens - rememberedTokens(row.entry.id, request);
-        entry.cost += static_cast<double>(row.unreadTokens + entry.unread) / tokensReadPerMillisecond * row.slowdown;
+        entry.cost += static_cast<double>(row.unread() + entry.unread) / tokensReadPerMillisecond * row.slowdown;
         entry.cost += outstanding * millisecondsPerRunning;
         const uint64_t weight = rendezvousWeight(part, row.entry.id);
         if (!request.parts.empty() && weight >= homeWeight) {
--- a/libs/relay/src/view_message.cpp
+++ b/libs/relay/src/view_message.cpp
@@ -40,14 +40,19 @@
         report.otherAnswers, report.othersRunning);
 }
 
+template <typename Archive> void serialize(Archive& archive, server_work& work)
+{
+    archive(work.server, work.requests, work.unreadTokens);
+}
+
 template <typename Archive> void serialize(Archive& archive, view_request& request)
 {
-    archive(request.positions, request.reports);
+    archive(request.positions, request.sender, request.reports, request.work);
 }
 
 template <typename Archive> void serialize(Archive& archive, view_reply& reply)
 {
-    archive(reply.changes, reply.totals);
+    archive(reply.changes, reply.totals, reply.work);
 }
 
 namespace {
--- a/libs/relay/src/view_sharing.cpp
+++ b/libs/relay/src/view_sharing.cpp
@@ -1,7 +1,5 @@
 #include <relay/view_sharing.h>
 
-#include <relay/view_message.h>
-
 namespace pollen {
 
 namespace {
@@ -12,15 +10,18 @@
 constexpr duration firstPenalty = std::chrono::seconds(2);
 constexpr uint32_t mostDoublings = 4;
 // Daemons before this one that are tried before it reads the store itself.
+// Work of a daemon that has not asked for so long is no longer counted.
+constexpr duration workLifetime = std::chrono::seconds(1);
 constexpr size_t mostCandidates = 2;
 
 } // namespace
 
-view_sharing::view_sharing(identity self, age_limits limits, fleet_store& store, rollout_system& rollouts,
-    state_exchange& exchange, const clock& time, logger& log)
+view_sharing::view_sharing(identity self, age_limits limits, fleet_store& store, server_table& servers,
+    rollout_system& rollouts, state_exchange& exchange, const clock& time, logger& log)
     : m_self(std::move(self))
     , m_limits(limits)
     , m_store(store)
+    , m_servers(servers)
     , m_rollouts(rollouts)
     , m_exchange(exchange)
     , m_time(time)
@@ -32,6 +33,10 @@
 
 void view_sharing::tick(time_point now)
 {
+    if (m_upstream.empty() && now >= m_nextEntry) {
+        m_nextEntry = now + askInterval;
+        enterWork(workBeside(m_self.id, now));
+    }
     if (m_asked && now - m_askedAt > answerTimeout)
         fail(m_asked->id, "silent", now);
     if (m_asked || now < m_next)
@@ -89,7 +94,9 @@
     view_request request;
     for (const shared_topic* topic : m_store.topics())
         request.positions.push_back(topic->position());
+    request.sender = m_self.id;
     request.reports = m_rollouts.ownReports(now);
+    request.work = ownWork();
     m_asked = peer;
     m_askedAt = now;
     const uint64_t asking = ++m_asking;
@@ -125,6 +132,7 @@
         topics[i]->apply(reply.changes[i], asked);
     for (const rollout_report& total : reply.totals)
         m_rollouts.hearTotal(total, now);
+    enterWork(reply.work);
     m_penalties.erase(peer);
     m_asked.reset();
     m_next = asked + askInterval;
@@ -153,6 +161,44 @@
     m_log.write(log_level::Info, "view_source", { { "source", peer.empty() ? std::string("store") : peer.text() } });
 }
 
+std::vector<server_work> view_sharing::ownWork() const
+{
+    std::vector<server_work> work;
+    for (const server_row& row : m_servers.rows()) {
+        if (row.ownRequests > 0)
+            work.push_back({ row.entry.id, row.ownRequests, row.unreadTokens });
+    }
+    return work;
+}
+
+std::vector<server_work> view_sharing::workBeside(const instance_id& daemon, time_point now) const
+{
+    std::map<instance_id, server_work> sums;
+    const auto add = [&](const std::vector<server_work>& work) {
+        for (const server_work& item : work) {
+            server_work& sum = sums[item.server];
+            sum = { item.server, sum.requests + item.requests, sum.unreadTokens + item.unreadTokens };
+        }
+    };
+    for (const auto& [id, member] : m_members) {
+        if (id != daemon && now - member.heard < workLifetime)
+            add(member.work);
+    }
+    if (daemon != m_self.id)
+        add(ownWork());
+    std::vector<server_work> work;
+    for (const auto& [id, sum] : sums)
+        work.push_back(sum);
+    return work;
+}
+
+void view_sharing::enterWork(const std::vector<server_work>& work)
+{
+    m_servers.clearPeerWork();
+    for (const server_work& item : work)
+        m_servers.addPeerWork(item.server, item.requests, item.unreadTokens);
+}
+
 std::string view_sharing::answer(const std::string& bytes)
 {
     const time_point now = m_time.now();
@@ -170,7 +216,9 @@
         }
         for (const rollout_report& report : request.reports)
             m_rollouts.hearMember(report, now);
+        m_members[request.sender] = { request.work, now };
         reply.totals = m_rollouts.totals(now);
+        reply.work = workBeside(request.sender, now);
         return encodeViewReply(reply);
     } catch (const view_message_error& problem) {
         m_log.write(log_level::Warning, "view_request_unreadable", { { "problem", problem.what() } });
--- a/libs/relay/tests/view_sharing_test.cpp
+++ b/libs/relay/tests/view_sharing_test.cpp
@@ -82,8 +82,8 @@
         , rollouts(table, store, listed.id, 1, log)
         , exchange(network, listed.address)
         , sharing({ listed.id, listed.failureDomain },
-              { std::chrono::milliseconds(1300), std::chrono::milliseconds(1800) }, store, rollouts, exchange, time,
-              log)
+              { std::chrono::milliseconds(1300), std::chrono::milliseconds(1800) }, store, servers, rollouts, exchange,
+              time, log)
     {
     }
 
@@ -91,6 +91,7 @@
     listed_peer listed;
     fake_store store;
     rollout_table table;
+    server_table servers;
     rollout_system rollouts;
     fake_exchange exchange;
     view_sharing sharing;
@@ -213,12 +214,12 @@
 
 TEST(ViewMessage, ReadsWhatItHasWrittenAndRefusesTheRest)
 {
-    const view_request request { { 1, 2 },
-        { { instance_id("d"), 7, service_name("s"), version_name("v"), std::chrono::seconds(3), { 1, 2, 3 },
-            { 4, 5, 6 }, 7 } } };
+    const rollout_report report { instance_id("d"), 7, service_name("s"), version_name("v"), std::chrono::seconds(3),
+        { 1, 2, 3 }, { 4, 5, 6 }, 7 };
+    const view_request request { { 1, 2 }, instance_id("d"), { report }, { { instance_id("e"), 3, 17000 } } };
     EXPECT_EQ(decodeViewRequest(encodeViewRequest(request)), request);
     const view_reply reply { { { true, 9, std::chrono::seconds(2), { { "k", "v", 3 }, { "d", std::nullopt, 4 } } } },
-        request.reports };
+        request.reports, request.work };
     const std::string bytes = encodeViewReply(reply);
     EXPECT_EQ(decodeViewReply(bytes), reply);
     for (size_t length = 0; length + 1 < bytes.size(); ++length)
@@ -260,6 +261,31 @@
     EXPECT_EQ(readers(), (ids { "a1", "b1" }));
 }
 
+// Pattern: a daemon sends a prompt that takes a server seconds to read, and the others must not queue behind it.
+TEST_F(ViewSharingTest, DaemonsOfAFailureDomainKnowOfEachOthersWork)
+{
+    listed_server engine;
+    engine.entry.id = instance_id("engine");
+    for (const auto& [id, daemon] : daemons)
+        daemon->servers.replaceListed({ engine });
+    run(std::chrono::seconds(1));
+    const auto row = [&](const char* id) { return at(id).servers.row({ 0 }); };
+    at("a3").servers.addRequest({ 0 });
+    at("a3").servers.addUnreadTokens({ 0 }, 50000);
+    at("a1").servers.addRequest({ 0 });
+    run(std::chrono::seconds(1));
+    EXPECT_EQ(row("a1").peerUnreadTokens, 50000U);
+    EXPECT_EQ(row("a2").peerUnreadTokens, 50000U);
+    EXPECT_EQ(row("a2").outstanding(), 2U);
+    EXPECT_EQ(row("a3").outstanding(), 2U) << "its own request counts once";
+    EXPECT_EQ(row("b1").outstanding(), 0U);
+    at("a3").servers.removeUnreadTokens({ 0 }, 50000);
+    at("a3").servers.removeRequest({ 0 });
+    run(std::chrono::seconds(2));
+    EXPECT_EQ(row("a2").unread(), 0U);
+    EXPECT_EQ(row("a2").outstanding(), 1U);
+}
+
 // Pattern: the store turns some daemons away and serves the others.
 TEST_F(ViewSharingTest, ADaemonThatTheStoreTurnsAwayLearnsFromAnyOther)
 {
