--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -542,13 +542,13 @@
 std::unique_ptr<exchange> http_client::start(
     const endpoint& server, http_request request, exchange_options options, exchange_listener& listener)
 {
-    return std::make_unique<pooled_exchange>(m_pool, server, std::move(request), options, listener);
+    return std::make_unique<pooled_exchange>(m_pool, server, std::move(request), std::move(options), listener);
 }
 
 void http_client::fetch(const endpoint& server, http_request request, exchange_options options, fetch_callback callback)
 {
     auto* fetch = new fetch_exchange(m_pool, std::move(callback));
-    fetch->own(start(server, std::move(request), options, *fetch));
+    fetch->own(start(server, std::move(request), std::move(options), *fetch));
 }
 
 void http_client::forget(const endpoint& server) { m_pool->forget(server); }
--- a/libs/relay/src/view_sharing.cpp
+++ b/libs/relay/src/view_sharing.cpp
@@ -158,7 +158,7 @@
     m_upstream = peer;
     m_store.setReading(peer.empty());
     m_rollouts.setReading(peer.empty());
-    m_log.write(log_level::Info, "view_source", { { "source", peer.empty() ? std::string("store") : peer.text() } });
+    m_log.write(log_level::Info, "view_source", { { "upstream", peer.empty() ? std::string("store") : peer.text() } });
 }
 
 std::vector<server_work> view_sharing::ownWork() const
@@ -187,6 +187,7 @@
     if (daemon != m_self.id)
         add(ownWork());
     std::vector<server_work> work;
+    work.reserve(sums.size());
     for (const auto& [id, sum] : sums)
         work.push_back(sum);
     return work;
--- a/libs/relay/tests/placement_test.cpp
+++ b/libs/relay/tests/placement_test.cpp
@@ -27,15 +27,16 @@
 protected:
     PlacementTest()
     {
-        engineService.name = advice;
-        engineService.engine = engine_limits { 64, cacheTokens };
-        plainService.name = desk;
+        m_engineService.name = advice;
+        m_engineService.engine = engine_limits { 64, cacheTokens };
+        m_plainService.name = desk;
         std::vector<listed_server> list;
+        list.reserve(13);
         for (int i = 0; i < 9; ++i)
             list.push_back(makeServer("e" + std::to_string(i), advice, i % 2 ? "a" : "b", i < 6 ? "v1" : "v2"));
         for (int i = 0; i < 4; ++i)
             list.push_back(makeServer("d" + std::to_string(i), desk, i % 2 ? "a" : "b", "v1"));
-        servers.replaceListed(list);
+        m_servers.replaceListed(list);
     }
 
     static placement_request longPrompt(uint64_t shared, uint64_t own)
@@ -51,15 +52,16 @@
 
     std::string choose(placement& from, const placement_request& request)
     {
-        const auto choice = from.choose(request, servers, request.service == desk ? plainService : engineService, now);
-        return choice ? servers.row(choice->server).entry.id.text() : "none";
+        const auto choice
+            = from.choose(request, m_servers, request.service == desk ? m_plainService : m_engineService, now);
+        return choice ? m_servers.row(choice->server).entry.id.text() : "none";
     }
 
-    random_source random { 7 };
-    placement chooser { random };
-    server_table servers;
-    relay_service engineService;
-    relay_service plainService;
+    random_source m_random { 7 };
+    placement m_chooser { m_random };
+    server_table m_servers;
+    relay_service m_engineService;
+    relay_service m_plainService;
 };
 
 } // namespace
@@ -71,7 +73,7 @@
     placement other(otherRandom);
     std::set<std::string> used;
     for (uint64_t document = 1; document <= 40; ++document) {
-        const std::string server = choose(chooser, longPrompt(document, 1000 + document));
+        const std::string server = choose(m_chooser, longPrompt(document, 1000 + document));
         EXPECT_EQ(choose(other, longPrompt(document, 2000 + document)), server) << document;
         used.insert(server);
     }
@@ -82,30 +84,30 @@
 // memory.
 TEST_F(PlacementTest, AHotDocumentSpillsOverOnceItsServerIsBehind)
 {
-    const std::string home = choose(chooser, longPrompt(1, 10));
-    servers.addUnreadTokens(*servers.find(instance_id(home)), 60000);
-    EXPECT_NE(choose(chooser, longPrompt(1, 11)), home);
+    const std::string home = choose(m_chooser, longPrompt(1, 10));
+    m_servers.addUnreadTokens(*m_servers.find(instance_id(home)), 60000);
+    EXPECT_NE(choose(m_chooser, longPrompt(1, 11)), home);
 }
 
 TEST_F(PlacementTest, APromptGoesWhereItsPartsAreRemembered)
 {
     const placement_request request = longPrompt(1, 10);
-    const std::string home = choose(chooser, request);
+    const std::string home = choose(m_chooser, request);
     const instance_id elsewhere(home == "e3" ? "e4" : "e3");
-    chooser.remember(elsewhere, request, cacheTokens);
-    EXPECT_EQ(choose(chooser, request), elsewhere.text());
-    chooser.forget(elsewhere);
-    EXPECT_EQ(choose(chooser, request), home);
+    m_chooser.remember(elsewhere, request, cacheTokens);
+    EXPECT_EQ(choose(m_chooser, request), elsewhere.text());
+    m_chooser.forget(elsewhere);
+    EXPECT_EQ(choose(m_chooser, request), home);
 }
 
 TEST_F(PlacementTest, PartsThatNoLongerFitAreNotCountedOn)
 {
     const placement_request request = longPrompt(1, 10);
-    const std::string home = choose(chooser, request);
+    const std::string home = choose(m_chooser, request);
     const instance_id elsewhere(home == "e3" ? "e4" : "e3");
-    chooser.remember(elsewhere, request, cacheTokens);
-    chooser.remember(elsewhere, longPrompt(2, 20), 17000);
-    EXPECT_EQ(choose(chooser, request), home);
+    m_chooser.remember(elsewhere, request, cacheTokens);
+    m_chooser.remember(elsewhere, longPrompt(2, 20), 17000);
+    EXPECT_EQ(choose(m_chooser, request), home);
 }
 
 TEST_F(PlacementTest, VersionsLeavingServersAndTriedOnesAreLeftOut)
@@ -115,15 +117,15 @@
     std::set<std::string> used;
     for (uint64_t i = 0; i < 30; ++i) {
         request.parts[0].id = i;
-        used.insert(choose(chooser, request));
+        used.insert(choose(m_chooser, request));
     }
     EXPECT_EQ(used, (std::set<std::string> { "e6", "e7", "e8" }));
-    request.excluded = { *servers.find(instance_id("e6")), *servers.find(instance_id("e7")) };
-    EXPECT_EQ(choose(chooser, request), "e8");
+    request.excluded = { *m_servers.find(instance_id("e6")), *m_servers.find(instance_id("e7")) };
+    EXPECT_EQ(choose(m_chooser, request), "e8");
     listed_server leaving = makeServer("e8", advice, "b", "v2");
     leaving.leaving = true;
-    servers.replaceListed({ leaving });
-    EXPECT_EQ(choose(chooser, request), "none");
+    m_servers.replaceListed({ leaving });
+    EXPECT_EQ(choose(m_chooser, request), "none");
 }
 
 // Pattern: short calls beside a slow neighbour.
@@ -133,13 +135,13 @@
     request.service = desk;
     request.failureDomain = failure_domain_name("a");
     for (int i = 0; i < 10; ++i) {
-        const std::string server = choose(chooser, request);
+        const std::string server = choose(m_chooser, request);
         EXPECT_TRUE(server == "d1" || server == "d3") << server;
     }
     for (const char* id : { "d1", "d3" })
-        servers.reportLoad(*servers.find(instance_id(id)), 6, false);
-    servers.reportSlowdown(*servers.find(instance_id("d0")), 2.5);
-    EXPECT_EQ(choose(chooser, request), "d2");
+        m_servers.reportLoad(*m_servers.find(instance_id(id)), 6, false);
+    m_servers.reportSlowdown(*m_servers.find(instance_id("d0")), 2.5);
+    EXPECT_EQ(choose(m_chooser, request), "d2");
 }
 
 TEST_F(PlacementTest, AServerThatFailedIsTheLastResort)
@@ -147,11 +149,11 @@
     placement_request request;
     request.service = desk;
     request.failureDomain = failure_domain_name("a");
-    servers.reportFailure(*servers.find(instance_id("d1")), now);
-    EXPECT_EQ(choose(chooser, request), "d3");
+    m_servers.reportFailure(*m_servers.find(instance_id("d1")), now);
+    EXPECT_EQ(choose(m_chooser, request), "d3");
     for (const char* id : { "d0", "d2", "d3" })
-        servers.reportFailure(*servers.find(instance_id(id)), now);
-    EXPECT_NE(choose(chooser, request), "none");
+        m_servers.reportFailure(*m_servers.find(instance_id(id)), now);
+    EXPECT_NE(choose(m_chooser, request), "none");
 }
 
 } // namespace pollen
--- a/libs/relay/tests/view_sharing_test.cpp
+++ b/libs/relay/tests/view_sharing_test.cpp
@@ -102,43 +102,43 @@
 protected:
     ViewSharingTest()
     {
-        time.advance(std::chrono::seconds(1000));
+        m_time.advance(std::chrono::seconds(1000));
         uint16_t port = 1;
         for (const char* id : { "a1", "a2", "a3", "b1", "b2" })
-            daemons[id] = std::make_unique<test_daemon>(network, time, id, std::string(1, id[0]).c_str(), port++);
-        for (const auto& [id, daemon] : daemons) {
-            for (const auto& [otherId, other] : daemons)
+            m_daemons[id] = std::make_unique<test_daemon>(m_network, m_time, id, std::string(1, id[0]).c_str(), port++);
+        for (const auto& [id, daemon] : m_daemons) {
+            for (const auto& [otherId, other] : m_daemons)
                 daemon->store.listed.push_back(other->listed);
         }
     }
 
-    // Lets time pass. A daemon that reads a store that works knows what is in it.
+    // Lets m_time pass. A daemon that reads a store that works knows what is in it.
     void run(duration span)
     {
         for (duration passed { 0 }; passed < span; passed += step) {
-            time.advance(step);
-            for (const auto& [id, daemon] : daemons) {
+            m_time.advance(step);
+            for (const auto& [id, daemon] : m_daemons) {
                 if (daemon->store.reading && daemon->storeWorks) {
-                    for (const topic_record& record : written)
+                    for (const topic_record& record : m_written)
                         daemon->store.topic.apply(record);
-                    daemon->store.topic.synced(written.size(), time.now());
+                    daemon->store.topic.synced(m_written.size(), m_time.now());
                 }
-                daemon->sharing.tick(time.now());
+                daemon->sharing.tick(m_time.now());
             }
         }
     }
 
     void write(const std::string& key, std::optional<std::string> value)
     {
-        written.push_back({ key, std::move(value), written.size() });
+        m_written.push_back({ key, std::move(value), m_written.size() });
     }
 
-    test_daemon& at(const char* id) { return *daemons[id]; }
-    duration age(const char* id) { return time.now() - at(id).store.topic.asOf(); }
+    test_daemon& at(const char* id) { return *m_daemons[id]; }
+    duration age(const char* id) { return m_time.now() - at(id).store.topic.asOf(); }
     std::set<std::string> readers()
     {
         std::set<std::string> ids;
-        for (const auto& [id, daemon] : daemons) {
+        for (const auto& [id, daemon] : m_daemons) {
             if (daemon->store.reading)
                 ids.insert(id);
         }
@@ -146,10 +146,10 @@
     }
 
     static constexpr duration step = std::chrono::milliseconds(50);
-    manual_clock time;
-    fake_network network;
-    std::map<std::string, std::unique_ptr<test_daemon>> daemons;
-    std::vector<topic_record> written;
+    manual_clock m_time;
+    fake_network m_network;
+    std::map<std::string, std::unique_ptr<test_daemon>> m_daemons;
+    std::vector<topic_record> m_written;
 };
 
 using ids = std::set<std::string>;
@@ -235,7 +235,7 @@
     write("config", "2");
     write("extra", "1");
     run(std::chrono::milliseconds(600));
-    for (const auto& [id, daemon] : daemons) {
+    for (const auto& [id, daemon] : m_daemons) {
         EXPECT_EQ(daemon->store.listener.values, (contents { { "config", "2" }, { "extra", "1" } })) << id;
         EXPECT_LT(age(id.c_str()), std::chrono::seconds(1)) << id;
     }
@@ -245,8 +245,8 @@
 {
     write("config", "1");
     run(std::chrono::seconds(3));
-    network.down.insert(at("a1").listed.address);
-    network.silent.insert(at("b1").listed.address);
+    m_network.down.insert(at("a1").listed.address);
+    m_network.silent.insert(at("b1").listed.address);
     run(std::chrono::seconds(2));
     EXPECT_TRUE(at("a2").store.reading);
     EXPECT_TRUE(at("b2").store.reading);
@@ -255,8 +255,8 @@
     run(std::chrono::seconds(1));
     EXPECT_EQ(at("a3").store.listener.values, (contents { { "config", "2" } }));
     EXPECT_EQ(at("b2").store.listener.values, (contents { { "config", "2" } }));
-    network.down.clear();
-    network.silent.clear();
+    m_network.down.clear();
+    m_network.silent.clear();
     run(std::chrono::seconds(70));
     EXPECT_EQ(readers(), (ids { "a1", "b1" }));
 }
@@ -266,7 +266,7 @@
 {
     listed_server engine;
     engine.entry.id = instance_id("engine");
-    for (const auto& [id, daemon] : daemons)
+    for (const auto& [id, daemon] : m_daemons)
         daemon->servers.replaceListed({ engine });
     run(std::chrono::seconds(1));
     const auto row = [&](const char* id) { return at(id).servers.row({ 0 }); };
@@ -286,7 +286,7 @@
     EXPECT_EQ(row("a2").outstanding(), 1U);
 }
 
-// Pattern: the store turns some daemons away and serves the others.
+// Pattern: the store turns some m_daemons away and serves the others.
 TEST_F(ViewSharingTest, ADaemonThatTheStoreTurnsAwayLearnsFromAnyOther)
 {
     write("config", "1");
@@ -301,7 +301,7 @@
     }
 }
 
-// Pattern: the reader of a failure domain is cut off from the store just before a configuration is written, and the
+// Pattern: the reader of a failure domain is cut off from the store just before a configuration is m_written, and the
 // others have to have it within two seconds.
 TEST_F(ViewSharingTest, AConfigurationIsInForceInTimeWhereTheReaderHasLostTheStore)
 {
@@ -318,10 +318,10 @@
 {
     write("config", "1");
     run(std::chrono::seconds(3));
-    for (const auto& [id, daemon] : daemons)
+    for (const auto& [id, daemon] : m_daemons)
         daemon->storeWorks = false;
     run(std::chrono::seconds(10));
-    for (const auto& [id, daemon] : daemons)
+    for (const auto& [id, daemon] : m_daemons)
         EXPECT_GE(age(id.c_str()), std::chrono::seconds(10)) << id;
 }
 
--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -75,7 +75,7 @@
     return more;
 }
 
-behaviour answers(int status, const std::string& body, http_headers more = {})
+behaviour answers(int status, const std::string& body, const http_headers& more = {})
 {
     return [=](const std::shared_ptr<server_request>& request) {
         request->reply(status, answerHeaders(*request, more), body);
@@ -85,7 +85,7 @@
 std::string event(int id) { return "id: " + std::to_string(id) + "\ndata: " + std::to_string(id) + "\n\n"; }
 
 // Sends the events of a stream after the caller's last one, and breaks off within the event behind the last.
-behaviour streams(int last, bool complete, http_headers more = {})
+behaviour streams(int last, bool complete, const http_headers& more = {})
 {
     return [=](const std::shared_ptr<server_request>& request) {
         const std::string since(findHeader(request->request().headers, "Last-Event-Id"));
