Give the client's connection a file of its own

On reading it, an exchange that had failed because its response was too large could have failed a second time if its connection broke before the loop came to the first failure.

Measured: the tests of the package pass. The new test, AResponseThatIsTooLargeFailsOnce..., passed before as well: the second failure needs an order of events that these sockets do not give, so it only guards the three endings.

--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -99,7 +99,6 @@
     void forget(const endpoint& server);
 
 private:
-    class connection;
     struct pool;
     class pooled_exchange;
     class fetch_exchange;
--- a/libs/http/tests/hostile_message_test.cpp
+++ b/libs/http/tests/hostile_message_test.cpp
@@ -185,6 +185,17 @@
     EXPECT_EQ(server.connections(), 2U) << "a connection on which answers crossed is not kept";
 }
 
+TEST_F(HostileMessageTest, AResponseThatIsTooLargeFailsOnceAlsoWhenTheServerCloses)
+{
+    exchange_options options;
+    options.maximumBodyBytes = 10;
+    for (const ending how : { ending::KeepOpen, ending::Close, ending::Reset }) {
+        scripted_server server("HTTP/1.1 200 OK\r\n\r\n" + std::string(5000, 'x'), how);
+        EXPECT_EQ(fetch(server, get, options).first.failure, exchange_failure::ResponseTooLarge);
+        m_loop.runUntil([] { return false; }, std::chrono::milliseconds(20));
+    }
+}
+
 TEST_F(HostileMessageTest, AnAnswerBeforeTheBodyHasLeftIsReadAndTheConnectionIsNotKept)
 {
     scripted_server server("HTTP/1.1 413 Too Large\r\nContent-Length: 3\r\n\r\nbig", ending::KeepOpen);
