--- a/libs/relay/include/relay/placement.h
+++ b/libs/relay/include/relay/placement.h
@@ -11,7 +11,7 @@
 // One request that needs a server.
 struct placement_request {
     service_name service;
-    // Versions that the server may not have; empty texts exclude nothing.
+    // The version that the server must have, and one that it may not have; empty texts demand nothing.
     version_name onlyVersion;
     version_name notVersion;
     model_name model;
