--- /dev/null
+++ b/standins/tests/store_follower_test.cpp
@@ -0,0 +1,80 @@
+#include <adapter/keyed_follower.h>
+#include <base/json_logger.h>
+#include <gtest/gtest.h>
+#include <standins/store_standin.h>
+
+namespace pollen {
+
+namespace {
+
+constexpr duration wait = std::chrono::milliseconds(400);
+// Time of a call to the store over loopback, with room for a busy machine.
+constexpr duration callTime = std::chrono::milliseconds(150);
+
+class counting_listener final : public topic_listener {
+public:
+    bool onKey(const std::string&, const std::optional<std::string>&) override
+    {
+        ++keys;
+        return true;
+    }
+    void onSynced(time_point) override { }
+
+    int keys = 0;
+};
+
+class StoreFollowerTest : public testing::Test {
+protected:
+    void runFor(duration span)
+    {
+        const time_point end = m_time.now() + span;
+        m_loop.runUntil([&] { return m_time.now() >= end; }, span + wait);
+    }
+
+    event_loop m_loop;
+    null_logger m_log;
+    os_clock m_time;
+    random_source m_random { 1 };
+    store_standin m_store { m_loop, { "127.0.0.1", 0 } };
+    http_client m_http { m_loop };
+    store_client m_client { m_http, m_store.address(), m_log };
+    counting_listener m_listener;
+    shared_topic m_topic { m_listener };
+    keyed_follower m_follower { m_loop, m_client, "keyed.op", { wait, duration(0), true }, m_topic, m_random, m_time,
+        m_log };
+};
+
+} // namespace
+
+// Pattern: a record comes late in a wait, and nothing follows it. Daemons that ask this one refuse a view that is much
+// older than one wait.
+TEST_F(StoreFollowerTest, AViewIsNeverOlderThanOneWait)
+{
+    m_follower.setActive(true);
+    ASSERT_TRUE(m_loop.runUntil([&] { return m_topic.known(); }, wait));
+    runFor(wait * 7 / 8);
+    m_store.put("keyed.op", "config", "1");
+    duration oldest { 0 };
+    const time_point end = m_time.now() + wait * 2;
+    m_loop.runUntil(
+        [&] {
+            oldest = std::max<duration>(oldest, m_time.now() - m_topic.asOf());
+            return m_time.now() >= end;
+        },
+        wait * 3);
+    EXPECT_EQ(m_listener.keys, 1);
+    EXPECT_LT(oldest, wait + callTime);
+}
+
+TEST_F(StoreFollowerTest, AChangeCostsOneCallMore)
+{
+    m_follower.setActive(true);
+    ASSERT_TRUE(m_loop.runUntil([&] { return m_topic.known(); }, wait));
+    runFor(wait / 8);
+    const size_t before = m_store.calls();
+    m_store.put("keyed.op", "config", "1");
+    runFor(wait / 2);
+    EXPECT_EQ(m_store.calls() - before, 2U) << "one that does not wait, and the next wait";
+}
+
+} // namespace pollen
