Let daemons agree on a second server for a shared part, and count what its server has read

A daemon out of 72 sends each server few requests, so what it remembers itself is little: it counted the whole prompt as unread work at the home of the part, which had read most of it for others, took that home for far behind, and sent the request to any other server.

Change: the expected unread tokens of a request at the first server of its shared part leave out the shared parts; a second server by the same ranking counts as holding half of them, so that daemons which leave the first one meet at the second.

Tests: PlacementTest.WhatOthersHaveSentHomeIsNotCountedAsWorkToDo and DaemonsAgreeOnTheServerThatAHotDocumentSpillsOverTo, both failed before.

--- a/libs/relay/include/relay/placement.h
+++ b/libs/relay/include/relay/placement.h
@@ -61,6 +61,13 @@
 
     uint32_t rememberedTokens(const instance_id& server, const placement_request& request) const;
     static bool fits(const server_row& row, const placement_request& request);
+    static bool mayTake(const server_row& row, server_handle server, const placement_request& request);
+    // The servers that all daemons rank first for a shared part.
+    static std::vector<server_handle> homesOf(
+        uint64_t part, const placement_request& request, const server_table& servers);
+    // Prompt tokens that the server would have to read.
+    uint32_t unreadTokens(const server_row& row, server_handle server, const placement_request& request,
+        const std::vector<server_handle>& homes) const;
 
     random_source& m_random;
     std::unordered_map<instance_id, server_memory> m_memories;
--- a/libs/relay/src/placement.cpp
+++ b/libs/relay/src/placement.cpp
@@ -1,6 +1,7 @@
 #include <relay/placement.h>
 
 #include <algorithm>
+#include <array>
 #include <limits>
 
 namespace pollen {
@@ -16,6 +17,10 @@
 constexpr double otherDomainMilliseconds = 12;
 constexpr double coldMilliseconds = 400;
 constexpr size_t maximumParts = 4096;
+// Servers that the daemons agree on for a shared part, in order: one that is behind hands its part on to the next.
+constexpr size_t homesOfPart = 2;
+// Part of the shared tokens that each of them is expected to remember.
+constexpr std::array<double, homesOfPart> keptAtHome { 1, 0.5 };
 
 uint64_t mix(uint64_t value)
 {
@@ -52,6 +57,48 @@
     return request.notVersion.empty() || version != request.notVersion;
 }
 
+bool placement::mayTake(const server_row& row, server_handle server, const placement_request& request)
+{
+    if (!row.used || row.leaving || !fits(row, request))
+        return false;
+    return std::find(request.excluded.begin(), request.excluded.end(), server) == request.excluded.end();
+}
+
+std::vector<server_handle> placement::homesOf(
+    uint64_t part, const placement_request& request, const server_table& servers)
+{
+    std::vector<std::pair<uint64_t, server_handle>> best;
+    for (uint32_t index = 0; index < servers.rows().size(); ++index) {
+        const server_row& row = servers.rows()[index];
+        if (!mayTake(row, { index }, request))
+            continue;
+        best.emplace_back(rendezvousWeight(part, row.entry.id), server_handle { index });
+        std::sort(
+            best.begin(), best.end(), [](const auto& left, const auto& right) { return left.first > right.first; });
+        best.resize(std::min(best.size(), homesOfPart));
+    }
+    std::vector<server_handle> homes;
+    for (const auto& [weight, server] : best)
+        homes.push_back(server);
+    return homes;
+}
+
+uint32_t placement::unreadTokens(const server_row& row, server_handle server, const placement_request& request,
+    const std::vector<server_handle>& homes) const
+{
+    const uint32_t remembered = rememberedTokens(row.entry.id, request);
+    const auto home = std::find(homes.begin(), homes.end(), server);
+    if (home == homes.end())
+        return request.promptTokens - remembered;
+    // Other daemons send the shared parts here too, so that the server has read them whoever has sent them.
+    uint32_t shared = 0;
+    for (size_t i = 0; i + 1 < request.parts.size(); ++i)
+        shared += request.parts[i].tokens;
+    const double share = keptAtHome[static_cast<size_t>(home - homes.begin())];
+    const auto expected = static_cast<uint32_t>(std::min(shared, request.promptTokens) * share);
+    return request.promptTokens - std::max(remembered, expected);
+}
+
 std::optional<placement_choice> placement::choose(
     const placement_request& request, const server_table& servers, const relay_service& service, time_point now)
 {
@@ -61,15 +108,13 @@
         double cost;
     };
     std::vector<candidate> candidates;
-    std::optional<size_t> home;
-    uint64_t homeWeight = 0;
-    const uint64_t part = sharedPart(request.parts);
+    const std::vector<server_handle> homes = request.parts.empty() || !service.engine
+        ? std::vector<server_handle>()
+        : homesOf(sharedPart(request.parts), request, servers);
     for (uint32_t index = 0; index < servers.rows().size(); ++index) {
         const server_row& row = servers.rows()[index];
         const server_handle server { index };
-        if (!row.used || row.leaving || !fits(row, request))
-            continue;
-        if (std::find(request.excluded.begin(), request.excluded.end(), server) != request.excluded.end())
+        if (!mayTake(row, server, request))
             continue;
         candidate entry { server, 0, 0 };
         if (!row.takesWork(now))
@@ -84,25 +129,13 @@
             candidates.push_back(entry);
             continue;
         }
-        entry.unread = request.promptTokens - rememberedTokens(row.entry.id, request);
+        entry.unread = unreadTokens(row, server, request, homes);
         entry.cost += static_cast<double>(row.unread() + entry.unread) / tokensReadPerMillisecond * row.slowdown;
         entry.cost += outstanding * millisecondsPerRunning;
-        const uint64_t weight = rendezvousWeight(part, row.entry.id);
-        if (!request.parts.empty() && weight >= homeWeight) {
-            homeWeight = weight;
-            home = candidates.size();
-        }
         candidates.push_back(entry);
     }
     if (candidates.empty())
         return std::nullopt;
-    if (home) {
-        // The shared parts of a prompt cost once what they cost anywhere, but save what the others would read again.
-        uint32_t shared = 0;
-        for (size_t i = 0; i + 1 < request.parts.size(); ++i)
-            shared += request.parts[i].tokens;
-        candidates[*home].cost -= std::min<double>(shared, candidates[*home].unread) / tokensReadPerMillisecond;
-    }
     std::shuffle(candidates.begin(), candidates.end(), m_random);
     const auto best = std::min_element(candidates.begin(), candidates.end(),
         [](const candidate& left, const candidate& right) { return left.cost < right.cost; });
--- a/libs/relay/tests/placement_test.cpp
+++ b/libs/relay/tests/placement_test.cpp
@@ -30,6 +30,12 @@
         m_engineService.name = advice;
         m_engineService.engine = engine_limits { 64, cacheTokens };
         m_plainService.name = desk;
+        fillTable();
+    }
+
+    void fillTable()
+    {
+        m_servers = {};
         std::vector<listed_server> list;
         list.reserve(13);
         for (int i = 0; i < 9; ++i)
@@ -89,6 +95,32 @@
     EXPECT_NE(choose(m_chooser, longPrompt(1, 11)), home);
 }
 
+// Pattern: the same, and every daemon that has to leave the first server finds the next one by itself.
+TEST_F(PlacementTest, DaemonsAgreeOnTheServerThatAHotDocumentSpillsOverTo)
+{
+    for (uint64_t document = 1; document <= 20; ++document) {
+        fillTable();
+        const std::string home = choose(m_chooser, longPrompt(document, 10));
+        m_servers.addUnreadTokens(*m_servers.find(instance_id(home)), 60000);
+        std::set<std::string> next;
+        for (uint64_t seed = 0; seed < 5; ++seed) {
+            random_source random(seed);
+            placement daemon(random);
+            next.insert(choose(daemon, longPrompt(document, 20 + seed)));
+        }
+        EXPECT_EQ(next.size(), 1U) << document;
+        EXPECT_FALSE(next.contains(home)) << document;
+    }
+}
+
+// Pattern: a document is asked about through many daemons, each of which sends its server only a few of the requests.
+TEST_F(PlacementTest, WhatOthersHaveSentHomeIsNotCountedAsWorkToDo)
+{
+    const auto choice = m_chooser.choose(longPrompt(1, 10), m_servers, m_engineService, now);
+    ASSERT_TRUE(choice.has_value());
+    EXPECT_EQ(choice->unreadTokens, 3000U);
+}
+
 TEST_F(PlacementTest, APromptGoesWhereItsPartsAreRemembered)
 {
     const placement_request request = longPrompt(1, 10);
