Forget a reported slowdown after a second

Cause: the figure that a server reports of its machine changes many times a second, but a daemon kept the last one until it next used that server, which on a fleet of 72 daemons and 90 engines is many seconds later; a moment's slowness sent long prompts away from the server that had read them.

Change: server_table::reportSlowdown takes the time, and the row counts as usual one second later. Test: PlacementTest.ASlowMomentIsForgottenSoon.

--- a/libs/fleet/include/fleet/server_table.h
+++ b/libs/fleet/include/fleet/server_table.h
@@ -34,8 +34,9 @@
     // Requests and unread prompt tokens of the daemons that this one exchanges its view with.
     uint32_t peerRequests = 0;
     uint64_t peerUnreadTokens = 0;
-    // How long work takes there now, from the last load report; 1 is as usual.
-    double slowdown = 1;
+    // How long work takes there, from the last report and until when that is believed; 1 is as usual.
+    double reportedSlowdown = 1;
+    time_point slowdownUntil {};
     uint32_t consecutiveFailures = 0;
     // No new work before this time, after a failure.
     time_point unavailableUntil {};
@@ -43,6 +44,7 @@
     bool takesWork(time_point now) const { return used && !leaving && now >= unavailableUntil; }
     // The last load report is old; what other daemons say that they have sent may be newer.
     uint32_t outstanding() const { return ownRequests + std::max(otherRequests, peerRequests); }
+    double slowdown(time_point now) const { return now < slowdownUntil ? reportedSlowdown : 1; }
     uint64_t unread() const { return unreadTokens + peerUnreadTokens; }
 };
 
@@ -67,7 +69,7 @@
     // What other daemons have under way, to be called for each server that they name after clearPeerWork().
     void clearPeerWork();
     void addPeerWork(const instance_id& server, uint32_t requests, uint64_t unreadTokens);
-    void reportSlowdown(server_handle server, double slowdown) { m_rows[server.index].slowdown = slowdown; }
+    void reportSlowdown(server_handle server, double slowdown, time_point now);
     void reportSuccess(server_handle server) { m_rows[server.index].consecutiveFailures = 0; }
     // Takes the server out of choice for a time that doubles with each failure in a row. Failures while it is out count
     // with the one that took it out.
--- a/libs/fleet/src/server_table.cpp
+++ b/libs/fleet/src/server_table.cpp
@@ -11,6 +11,8 @@
 constexpr duration unreachableBackoff = std::chrono::milliseconds(1500);
 constexpr duration longestBackoff = std::chrono::seconds(8);
 constexpr uint32_t maximumDoublings = 5;
+// The platform says that the figure changes many times a second.
+constexpr duration slowdownLifetime = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -69,6 +71,13 @@
     row.leaving = row.leaving || leaving;
 }
 
+void server_table::reportSlowdown(server_handle server, double slowdown, time_point now)
+{
+    server_row& row = m_rows[server.index];
+    row.reportedSlowdown = slowdown;
+    row.slowdownUntil = now + slowdownLifetime;
+}
+
 void server_table::clearPeerWork()
 {
     for (server_row& row : m_rows) {
--- a/libs/relay/src/placement.cpp
+++ b/libs/relay/src/placement.cpp
@@ -124,13 +124,13 @@
         const double outstanding = row.outstanding();
         if (!service.engine) {
             const double slots = std::max<uint32_t>(row.entry.slots, 1);
-            entry.cost += outstanding / slots * millisecondsPerRequest * row.slowdown * 2;
-            entry.cost += (row.slowdown - 1) * millisecondsPerRequest;
+            entry.cost += outstanding / slots * millisecondsPerRequest * row.slowdown(now) * 2;
+            entry.cost += (row.slowdown(now) - 1) * millisecondsPerRequest;
             candidates.push_back(entry);
             continue;
         }
         entry.unread = unreadTokens(row, server, request, homes);
-        entry.cost += static_cast<double>(row.unread() + entry.unread) / tokensReadPerMillisecond * row.slowdown;
+        entry.cost += static_cast<double>(row.unread() + entry.unread) / tokensReadPerMillisecond * row.slowdown(now);
         entry.cost += outstanding * millisecondsPerRunning;
         candidates.push_back(entry);
     }
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -260,7 +260,7 @@
     const time_point now = m_dependencies.time.now();
     if (m_answer.load) {
         servers.reportLoad(*m_server, m_answer.load->running + m_answer.load->waiting, false);
-        servers.reportSlowdown(*m_server, m_answer.load->slowdown);
+        servers.reportSlowdown(*m_server, m_answer.load->slowdown, now);
     }
     servers.removeUnreadTokens(*m_server, std::exchange(m_unreadTokens, 0));
     if (m_answer.otherInstance) {
--- a/libs/relay/tests/placement_test.cpp
+++ b/libs/relay/tests/placement_test.cpp
@@ -56,10 +56,10 @@
         return request;
     }
 
-    std::string choose(placement& from, const placement_request& request)
+    std::string choose(placement& from, const placement_request& request, time_point at = now)
     {
         const auto choice
-            = from.choose(request, m_servers, request.service == desk ? m_plainService : m_engineService, now);
+            = from.choose(request, m_servers, request.service == desk ? m_plainService : m_engineService, at);
         return choice ? m_servers.row(choice->server).entry.id.text() : "none";
     }
 
@@ -172,10 +172,21 @@
     }
     for (const char* id : { "d1", "d3" })
         m_servers.reportLoad(*m_servers.find(instance_id(id)), 6, false);
-    m_servers.reportSlowdown(*m_servers.find(instance_id("d0")), 2.5);
+    m_servers.reportSlowdown(*m_servers.find(instance_id("d0")), 2.5, now);
     EXPECT_EQ(choose(m_chooser, request), "d2");
 }
 
+// Pattern: neighbours of the servers are busy for moments, and each daemon hears of it at most every few seconds.
+TEST_F(PlacementTest, ASlowMomentIsForgottenSoon)
+{
+    const std::string home = choose(m_chooser, longPrompt(1, 10));
+    const server_handle server = *m_servers.find(instance_id(home));
+    m_servers.addUnreadTokens(server, 4000);
+    m_servers.reportSlowdown(server, 3, now);
+    EXPECT_NE(choose(m_chooser, longPrompt(1, 11)), home);
+    EXPECT_EQ(choose(m_chooser, longPrompt(1, 11), now + std::chrono::seconds(3)), home);
+}
+
 TEST_F(PlacementTest, AServerThatFailedIsTheLastResort)
 {
     placement_request request;
