Ask the largest model for less doubt only where its engine is idle

Cause: the largest model was asked below one confidence whether its engine had nothing to read or a queue that just fitted the latency objective.

Change: the confidence that suffices shrinks with the expected wait, in proportion to what is left of the latency objective; placement states that wait as a duration.

Test: EscalationControl.ALongerQueueNeedsAStrongerDoubt.

--- a/libs/relay/include/relay/escalation_control.h
+++ b/libs/relay/include/relay/escalation_control.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <base/clock.h>
 
 namespace pollen {
 
@@ -12,6 +13,15 @@
     // Confidence, 0 to 1, that is enough.
     double sufficientConfidence() const { return m_bound; }
 
+    // expectedWait: until the largest model would begin to answer; left: until its answer is late. A long wait means
+    // that others wait behind this request too, so it takes less confidence to do without.
+    bool isWorthAsking(double confidence, duration expectedWait, duration left) const
+    {
+        if (left <= duration(0))
+            return false;
+        return confidence < m_bound * (1 - toSeconds(expectedWait) / toSeconds(left));
+    }
+
     // One answer has begun.
     void countAnswer(bool onTime) { m_bound = std::clamp(m_bound + (onTime ? rise : -fall), lowest, highest); }
 
--- a/libs/relay/include/relay/placement.h
+++ b/libs/relay/include/relay/placement.h
@@ -27,7 +27,7 @@
     // Prompt tokens that the server is expected to read.
     uint32_t unreadTokens = 0;
     // Expected time until work on the request starts to show.
-    double waitMilliseconds = 0;
+    duration wait { 0 };
 };
 
 // Chooses servers: by expected time to the first token on engines, by load on plain services. Remembers which prompt
--- a/libs/relay/src/placement.cpp
+++ b/libs/relay/src/placement.cpp
@@ -78,6 +78,7 @@
         best.resize(std::min(best.size(), homesOfPart));
     }
     std::vector<server_handle> homes;
+    homes.reserve(best.size());
     for (const auto& [weight, server] : best)
         homes.push_back(server);
     return homes;
@@ -139,7 +140,8 @@
     std::shuffle(candidates.begin(), candidates.end(), m_random);
     const auto best = std::min_element(candidates.begin(), candidates.end(),
         [](const candidate& left, const candidate& right) { return left.cost < right.cost; });
-    return placement_choice { best->server, best->unread, std::max(best->cost, 0.0) };
+    const std::chrono::duration<double, std::milli> wait(std::max(best->cost, 0.0));
+    return placement_choice { best->server, best->unread, std::chrono::duration_cast<duration>(wait) };
 }
 
 uint32_t placement::rememberedTokens(const instance_id& server, const placement_request& request) const
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -300,8 +300,8 @@
         ? m_dependencies.servers.choose(placement, m_dependencies.state.servers(), *service, now)
         : std::nullopt;
     const duration left = m_route->latencyObjective - (now - m_start);
-    const bool inTime = choice && choice->waitMilliseconds < toSeconds(left) * 1000;
-    if (!inTime || !m_dependencies.retries.take()) {
+    const bool worthIt = choice && m_dependencies.escalation.isWorthAsking(*m_answer.confidence, choice->wait, left);
+    if (!worthIt || !m_dependencies.retries.take()) {
         m_model = model;
         return false;
     }
--- a/libs/relay/tests/relay_values_test.cpp
+++ b/libs/relay/tests/relay_values_test.cpp
@@ -132,6 +132,27 @@
     EXPECT_FALSE(watch.isSuspect(1, start + std::chrono::minutes(2)));
 }
 
+// Pattern: the largest model's engine has a queue. Whoever joins it lengthens it for those behind, so doubtful answers
+// are dropped first and those that are half good are kept.
+TEST(EscalationControl, ALongerQueueNeedsAStrongerDoubt)
+{
+    const escalation_control control;
+    const duration left = std::chrono::seconds(2);
+    const auto strongestConfidence = [&](duration wait) {
+        double confidence = 0;
+        while (confidence < 1 && control.isWorthAsking(confidence, wait, left))
+            confidence += 0.01;
+        return confidence;
+    };
+    const double idle = strongestConfidence(duration(0));
+    const double busy = strongestConfidence(left / 2);
+    EXPECT_GT(idle, 0.4);
+    EXPECT_LT(busy, idle * 0.6);
+    EXPECT_GT(busy, 0);
+    EXPECT_EQ(strongestConfidence(left), 0) << "the answer would begin late";
+    EXPECT_FALSE(control.isWorthAsking(0, duration(0), duration(0))) << "it is late already";
+}
+
 // Pattern: the engines cannot keep up with the largest model for every answer that a smaller one doubts. Each
 // escalation takes as much of their time as four answers of the smallest model, and answers begin late once they are
 // overloaded.
