Ask the largest model only for answers that it can finish before the deadline

Only the wait for the first byte was weighed.

Change: answer_pace learns how long the largest models take for each token that the caller expects (the value that four answers in five stay below, unfinished answers included); a request is passed on only if the wait and the answer fit into what is left. The adapter reads the caller's estimate of the output.

Tests: RelayPathTest.TheLargestModelIsNotAskedForMoreThanItCanWriteInTime failed before; AnswerPace, two.

--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -53,8 +53,8 @@
     , m_logBudget(logLinesPerSecond)
     , m_failureLogBudget(failureLogLinesPerSecond)
     , m_shared { loop, time, m_random, log, m_client, m_protocol, settings.failureDomain, m_state, m_rollouts,
-        m_rolloutSystem, m_sessions, m_servers, m_crashes, m_escalation, m_retries, m_metrics, m_logBudget,
-        m_failureLogBudget, m_usualLatency }
+        m_rolloutSystem, m_sessions, m_servers, m_crashes, m_escalation, m_largestPace, m_retries, m_metrics,
+        m_logBudget, m_failureLogBudget, m_usualLatency }
     , m_gateway(m_shared)
 {
 }
--- a/apps/pollenrouted/platform_relay.h
+++ b/apps/pollenrouted/platform_relay.h
@@ -44,6 +44,7 @@
     placement m_servers;
     crash_watch m_crashes;
     escalation_control m_escalation;
+    answer_pace m_largestPace;
     retry_budget m_retries;
     relay_metrics m_metrics;
     log_budget m_logBudget;
--- a/libs/relay/include/relay/relay_dependencies.h
+++ b/libs/relay/include/relay/relay_dependencies.h
@@ -5,6 +5,7 @@
 #include <http/http_client.h>
 #include <map>
 #include <policy/retry_budget.h>
+#include <relay/answer_pace.h>
 #include <relay/crash_watch.h>
 #include <relay/escalation_control.h>
 #include <relay/log_budget.h>
@@ -33,6 +34,7 @@
     placement& servers;
     crash_watch& crashes;
     escalation_control& escalation;
+    answer_pace& largestPace;
     retry_budget& retries;
     relay_metrics& metrics;
     log_budget& logBudget;
--- a/libs/relay/include/relay/relay_protocol.h
+++ b/libs/relay/include/relay/relay_protocol.h
@@ -28,6 +28,8 @@
     uint32_t promptTokens = 0;
     // Most tokens that may be generated.
     uint32_t outputTokens = 0;
+    // The caller's estimate of the tokens that will be generated: right for half of its requests, often far off.
+    std::optional<uint32_t> expectedTokens;
     // In order; a server that remembers a part can use it only if it remembers all parts before it.
     std::vector<prompt_part> parts;
     // Requests with the same text belong together; empty when the caller says nothing.
--- /dev/null
+++ b/libs/relay/src/answer_pace.cpp
@@ -0,0 +1,31 @@
+#include <relay/answer_pace.h>
+
+#include <algorithm>
+
+namespace pollen {
+
+namespace {
+
+constexpr double quantile = 0.8;
+// Part by which one answer moves the estimate.
+constexpr double step = 0.1;
+
+} // namespace
+
+void answer_pace::count(const service_name& service, uint32_t expectedTokens, duration span)
+{
+    const double pace = toSeconds(span) / std::max<uint32_t>(expectedTokens, 1);
+    const auto [known, first] = m_secondsPerToken.emplace(service, pace);
+    if (!first)
+        known->second *= pace > known->second ? 1 + step * quantile : 1 - step * (1 - quantile);
+}
+
+duration answer_pace::expect(const service_name& service, uint32_t expectedTokens) const
+{
+    const auto known = m_secondsPerToken.find(service);
+    if (known == m_secondsPerToken.end())
+        return duration(0);
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(known->second * expectedTokens));
+}
+
+} // namespace pollen
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -107,6 +107,13 @@
     return true;
 }
 
+bool relay_exchange::isLargestModel() const
+{
+    return m_traits.anyModel && m_model > 0 && m_model + 1 == m_route->models.size();
+}
+
+uint32_t relay_exchange::expectedTokens() const { return m_traits.expectedTokens.value_or(m_traits.outputTokens); }
+
 duration relay_exchange::timeLeft() const { return m_deadline - m_dependencies.time.now(); }
 
 uint64_t relay_exchange::sessionKey() const
@@ -283,7 +290,7 @@
 }
 
 // Asks the largest model when this one doubts its own answer, nothing of it has reached the caller, and the largest is
-// expected to answer within the latency objective.
+// expected to begin within the latency objective and to end before the deadline.
 bool relay_exchange::tryEscalation()
 {
     if (!m_traits.anyModel || m_model + 1 >= m_route->models.size() || m_status != statusOk || m_anyAnswer)
@@ -300,7 +307,9 @@
         ? m_dependencies.servers.choose(placement, m_dependencies.state.servers(), *service, now)
         : std::nullopt;
     const duration left = m_route->latencyObjective - (now - m_start);
-    const bool worthIt = choice && m_dependencies.escalation.isWorthAsking(*m_answer.confidence, choice->wait, left);
+    const duration answering = m_dependencies.largestPace.expect(placement.service, expectedTokens());
+    const bool worthIt = choice && choice->wait + answering < timeLeft()
+        && m_dependencies.escalation.isWorthAsking(*m_answer.confidence, choice->wait, left);
     if (!worthIt || !m_dependencies.retries.take()) {
         m_model = model;
         return false;
@@ -352,9 +361,10 @@
 {
     if (!m_streamStarted) {
         m_streamStarted = true;
+        m_firstByte = m_dependencies.time.now();
         if (m_traits.anyModel)
-            m_dependencies.escalation.countAnswer(m_dependencies.time.now() - m_start <= m_route->latencyObjective);
-        m_dependencies.metrics.observeFirstByte(m_route->name, m_dependencies.time.now() - m_start);
+            m_dependencies.escalation.countAnswer(m_firstByte - m_start <= m_route->latencyObjective);
+        m_dependencies.metrics.observeFirstByte(m_route->name, m_firstByte - m_start);
         m_request->startStream(m_status, m_headers);
     }
     m_request->sendPart(events);
@@ -403,12 +413,19 @@
     m_dependencies.rolloutSystem.countAnswer(m_service, m_version, good, slow);
 }
 
+void relay_exchange::countPace()
+{
+    if (m_streamStarted && isLargestModel())
+        m_dependencies.largestPace.count(m_service, expectedTokens(), m_dependencies.time.now() - m_firstByte);
+}
+
 void relay_exchange::finishAnswer()
 {
     if (isStreamAnswer() || m_streamStarted) {
         if (!m_events.rest().empty() || !m_streamStarted)
             passEvents(m_events.rest());
         m_request->endStream();
+        countPace();
     } else {
         m_dependencies.metrics.observeFirstByte(m_route->name, m_dependencies.time.now() - m_start);
         m_request->reply(m_status, m_headers, m_body);
@@ -436,6 +453,7 @@
             m_dependencies.crashes.countBreak(m_fingerprint, now);
     }
     if (timedOut) {
+        countPace();
         giveUp("timed_out");
         return;
     }
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -38,6 +38,10 @@
     uint64_t sessionKey() const;
     void send(const placement_choice& choice, const placement_request& placement);
     duration timeLeft() const;
+    bool isLargestModel() const;
+    // Tokens that the caller expects to be generated.
+    uint32_t expectedTokens() const;
+    void countPace();
 
     bool isStreamAnswer() const { return m_route->streaming && m_status == 200; }
     bool mayTryAgain() const;
@@ -63,6 +67,8 @@
     std::shared_ptr<server_request> m_request;
     request_traits m_traits;
     time_point m_start;
+    // When the caller was sent the first bytes of its stream.
+    time_point m_firstByte {};
     time_point m_deadline {};
     // Keeps the route and the team alive.
     std::shared_ptr<const indexed_configuration> m_configuration;
--- a/libs/relay/tests/relay_values_test.cpp
+++ b/libs/relay/tests/relay_values_test.cpp
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <relay/answer_pace.h>
 #include <relay/crash_watch.h>
 #include <relay/escalation_control.h>
 #include <relay/event_splitter.h>
@@ -132,6 +133,32 @@
     EXPECT_FALSE(watch.isSuspect(1, start + std::chrono::minutes(2)));
 }
 
+// Pattern: engines read long prompts between the tokens of an answer, so that the largest model's answers take seconds
+// from first to last byte; a few take far longer than expected.
+TEST(AnswerPace, ExpectsWhatFourAnswersInFiveStayBelow)
+{
+    const service_name service("advice");
+    answer_pace pace;
+    EXPECT_EQ(pace.expect(service, 100), duration(0)) << "nothing has been seen";
+    for (int i = 0; i < 500; ++i)
+        pace.count(service, 50, std::chrono::milliseconds(i % 10 == 9 ? 5000 : 100 * (i % 10 + 1)));
+    const duration expected = pace.expect(service, 100);
+    EXPECT_GT(expected, std::chrono::milliseconds(1200));
+    EXPECT_LT(expected, std::chrono::milliseconds(2400));
+    EXPECT_EQ(pace.expect(service_name("other"), 100), duration(0));
+}
+
+TEST(AnswerPace, FollowsEnginesThatSlowDown)
+{
+    const service_name service("advice");
+    answer_pace pace;
+    for (int i = 0; i < 50; ++i)
+        pace.count(service, 50, std::chrono::milliseconds(500));
+    for (int i = 0; i < 40; ++i)
+        pace.count(service, 50, std::chrono::milliseconds(3000));
+    EXPECT_GT(pace.expect(service, 50), std::chrono::milliseconds(2500));
+}
+
 // Pattern: the largest model's engine has a queue. Whoever joins it lengthens it for those behind, so doubtful answers
 // are dropped first and those that are half good are kept.
 TEST(EscalationControl, ALongerQueueNeedsAStrongerDoubt)
--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -286,6 +286,32 @@
     EXPECT_EQ(engine.header(1, "Pollenroute-Model"), "large");
 }
 
+// Pattern: the largest model would begin in time and still be writing when the caller's time is up.
+TEST_F(RelayPathTest, TheLargestModelIsNotAskedForMoreThanItCanWriteInTime)
+{
+    std::shared_ptr<server_request> writing;
+    const behaviour writesSlowly = [&](const std::shared_ptr<server_request>& request) {
+        request->startStream(200, answerHeaders(*request, { { "Pollenroute-Confidence", "95" } }));
+        request->sendPart(event(1));
+        writing = request;
+    };
+    timer finish(m_loop, [&] {
+        if (const auto request = std::exchange(writing, nullptr))
+            request->endStream();
+    });
+    finish.startRepeating(std::chrono::milliseconds(400));
+    const behaviour doubts = streams(2, true, { { "Pollenroute-Confidence", "20" } });
+    backend_standin engine(m_loop, { doubts, writesSlowly, doubts });
+    list("i-1", "advice", engine);
+    start();
+    const http_headers expects { { "Pollenroute-Model", "*" }, { "Pollenroute-Length-Hint", "10" } };
+    EXPECT_EQ(send(request("POST", "/s/x", expects)).response.body, event(1));
+    ASSERT_EQ(engine.requests().size(), 2U) << "nothing is known of the largest model's pace";
+    const http_headers expectsMore { { "Pollenroute-Model", "*" }, { "Pollenroute-Length-Hint", "1000" } };
+    EXPECT_EQ(send(request("POST", "/s/y", expectsMore)).response.body, event(1) + event(2));
+    EXPECT_EQ(engine.requests().size(), 3U) << "the smaller model's answer is kept";
+}
+
 // Pattern: servers have crashed and their entries have not lapsed yet.
 TEST_F(RelayPathTest, ServersThatAreGoneDoNotUseUpTheAttempts)
 {
