Explain a request from the logs alone: pollenctl explain-log, causes and timeline

Cause: a line request_ended told the last reason only; a 500 or 504 of a server passed on had no reason at all, and an on-call engineer had to join the lines of several daemons by hand.

Change: the line carries the history of attempts (when, server, model, expected wait, how it ended); an error of a server that is passed on has its reason. pollenctl reads joined logs from standard input: explain-log REQUEST (cause in words, attempts, what the daemon learned in the five seconds before), causes (a count for each cause, and N explained, N not; exit code 1 where one is missing), timeline (what was said in each second, by how many daemons).

Tests: AttemptHistory, four of LogCommands.

--- a/apps/pollenctl/main.cpp
+++ b/apps/pollenctl/main.cpp
@@ -114,7 +114,7 @@
         { "version", 0, POPT_ARG_NONE, &raw.version, 0, "print the version and exit", nullptr },
         POPT_AUTOHELP POPT_TABLEEND,
     };
-    const std::vector<std::unique_ptr<command>> commands = makeCommands();
+    const std::vector<std::unique_ptr<command>> commands = makeCommands(std::cin);
     const std::string help = commandHelp(commands);
     const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
         poptGetContext("pollenctl", argc, argv, options, 0), poptFreeContext);
--- a/libs/ctl/include/ctl/command.h
+++ b/libs/ctl/include/ctl/command.h
@@ -3,6 +3,7 @@
 #include <base/endpoint.h>
 #include <base/error.h>
 #include <base/typed_id.h>
+#include <istream>
 #include <memory>
 #include <optional>
 #include <ostream>
@@ -63,7 +64,7 @@
     virtual void run(const ctl_arguments& arguments, std::ostream& out) = 0;
 };
 
-// All commands in the order of the help.
-std::vector<std::unique_ptr<command>> makeCommands();
+// All commands in the order of the help. input: where commands that read a log read it from.
+std::vector<std::unique_ptr<command>> makeCommands(std::istream& input);
 
 } // namespace pollen
--- a/libs/ctl/src/command.cpp
+++ b/libs/ctl/src/command.cpp
@@ -10,11 +10,13 @@
 {
 }
 
-std::vector<std::unique_ptr<command>> makeCommands()
+std::vector<std::unique_ptr<command>> makeCommands(std::istream& input)
 {
     std::vector<std::unique_ptr<command>> commands = makeConfigurationCommands();
     for (std::unique_ptr<command>& command : makeInspectionCommands())
         commands.push_back(std::move(command));
+    for (std::unique_ptr<command>& command : makeLogCommands(input))
+        commands.push_back(std::move(command));
     return commands;
 }
 
--- a/libs/ctl/src/command_lists.h
+++ b/libs/ctl/src/command_lists.h
@@ -10,4 +10,7 @@
 // Commands that ask daemons and the bills.
 std::vector<std::unique_ptr<command>> makeInspectionCommands();
 
+// Commands that explain what the logs of daemons say.
+std::vector<std::unique_ptr<command>> makeLogCommands(std::istream& input);
+
 } // namespace pollen
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -225,6 +225,7 @@
     m_unreadTokens = choice.unreadTokens;
     ++m_attempts;
     m_tried.push_back(choice.server);
+    m_history.addAttempt(m_sent - m_start, m_serverId, placement.model, choice.wait);
     servers.addRequest(choice.server);
     servers.addUnreadTokens(choice.server, m_unreadTokens);
     m_dependencies.sessions.use(sessionKey(), m_version, m_sent);
@@ -323,6 +324,7 @@
     // The run is cancelled at once: it must not go on writing.
     m_exchange.reset();
     releaseServer();
+    noteAttemptEnd("escalated");
     m_tried.clear();
     m_lastReason = "escalated";
     const relay_service* service = m_configuration->findService(placement.service);
@@ -430,7 +432,10 @@
         m_dependencies.metrics.observeFirstByte(m_route->name, m_dependencies.time.now() - m_start);
         m_request->reply(m_status, m_headers, m_body);
     }
-    end(m_status < firstServerError ? "answered" : "server_error");
+    const bool answered = m_status < firstServerError;
+    if (!answered)
+        m_lastReason = "server_error";
+    end(answered ? "answered" : "server_error");
 }
 
 void relay_exchange::onBroken(const exchange_result& result)
@@ -454,6 +459,7 @@
     }
     if (timedOut) {
         countPace();
+        noteAttemptEnd("timed_out");
         giveUp("timed_out");
         return;
     }
@@ -463,6 +469,7 @@
 // Goes on with another server if the request may run there, or ends.
 void relay_exchange::tryAgain(const char* reason, bool arrived)
 {
+    noteAttemptEnd(reason);
     m_lastReason = reason;
     const bool allowed = m_run == run_knowledge::NotRun || m_route->mayRepeat();
     const bool suspect = m_dependencies.crashes.isSuspect(m_fingerprint, m_dependencies.time.now());
@@ -516,6 +523,11 @@
     end("caller_gone");
 }
 
+void relay_exchange::noteAttemptEnd(const char* reason)
+{
+    m_history.endAttempt(m_dependencies.time.now() - m_start, reason);
+}
+
 void relay_exchange::releaseServer()
 {
     if (!m_server)
@@ -533,6 +545,7 @@
     if (!m_onEnd)
         return;
     const time_point now = m_dependencies.time.now();
+    noteAttemptEnd(outcome.c_str());
     m_dependencies.metrics.countOutcome(m_route ? m_route->name : "", outcome);
     const bool good = outcome == "answered";
     log_budget& budget = good ? m_dependencies.logBudget : m_dependencies.failureLogBudget;
@@ -540,8 +553,9 @@
         m_dependencies.log.write(good ? log_level::Info : log_level::Warning, "request_ended",
             { { "request", m_traits.id.text() }, { "route", m_route ? m_route->name : "" }, { "outcome", outcome },
                 { "reason", m_lastReason }, { "status", m_status }, { "server", m_serverId.text() },
-                { "attempts", static_cast<int64_t>(m_attempts) }, { "session", m_traits.session },
-                { "parts", static_cast<int64_t>(m_traits.parts.size()) }, { "ms", toMilliseconds(now - m_start) },
+                { "attempts", static_cast<int64_t>(m_attempts) }, { "history", m_history.text() },
+                { "session", m_traits.session }, { "parts", static_cast<int64_t>(m_traits.parts.size()) },
+                { "ms", toMilliseconds(now - m_start) },
                 { "configuration", m_configuration ? m_configuration->configuration().version : 0 } });
     }
     const auto onEnd = std::exchange(m_onEnd, nullptr);
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <http/http_server.h>
 #include <memory>
+#include <relay/attempt_history.h>
 #include <relay/event_splitter.h>
 #include <relay/relay_dependencies.h>
 
@@ -61,6 +62,7 @@
     void giveUp(const char* reason);
     void onCallerGone();
     void releaseServer();
+    void noteAttemptEnd(const char* reason);
     void end(const std::string& outcome);
 
     relay_dependencies& m_dependencies;
@@ -107,6 +109,7 @@
     bool m_streamStarted = false;
     bool m_paused = false;
     const char* m_lastReason = "";
+    attempt_history m_history;
 };
 
 } // namespace pollen
--- a/libs/relay/tests/relay_values_test.cpp
+++ b/libs/relay/tests/relay_values_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 #include <relay/answer_pace.h>
+#include <relay/attempt_history.h>
 #include <relay/crash_watch.h>
 #include <relay/escalation_control.h>
 #include <relay/event_splitter.h>
@@ -133,6 +134,18 @@
     EXPECT_FALSE(watch.isSuspect(1, start + std::chrono::minutes(2)));
 }
 
+TEST(AttemptHistory, TellsWhatWasTriedAndHowItEnded)
+{
+    attempt_history history;
+    history.endAttempt(duration(0), "nothing was tried");
+    EXPECT_EQ(history.text(), "");
+    history.addAttempt(std::chrono::milliseconds(3), instance_id("i-1"), model_name("small"), duration(20000));
+    history.endAttempt(std::chrono::milliseconds(40), "escalated");
+    history.endAttempt(std::chrono::milliseconds(41), "only the first reason is kept");
+    history.addAttempt(std::chrono::milliseconds(40), instance_id("i-2"), model_name(), duration(0));
+    EXPECT_EQ(history.text(), "3ms i-1 small wait 20ms: escalated at 40ms; 40ms i-2 wait 0ms");
+}
+
 // Pattern: engines read long prompts between the tokens of an answer, so that the largest model's answers take seconds
 // from first to last byte; a few take far longer than expected.
 TEST(AnswerPace, ExpectsWhatFourAnswersInFiveStayBelow)
--- a/standins/tests/operator_commands_test.cpp
+++ b/standins/tests/operator_commands_test.cpp
@@ -84,8 +84,9 @@
 
     static command_result run(const std::string& name, const ctl_arguments& arguments)
     {
+        std::istringstream noLog;
         std::ostringstream out;
-        for (const auto& command : makeCommands()) {
+        for (const auto& command : makeCommands(noLog)) {
             if (command->name() != name)
                 continue;
             try {
