Send a request elsewhere when its server has fallen silent and cannot be reached

The servers had lost power or were cut off; their connections stayed open. Only the deadline ended the wait.

Change: silence_watch finds silence of 800 ms beyond the expected wait (less with a short deadline, so that another try fits); connection_probe tries to connect to the address without sending anything; where nothing accepts within 250 ms the attempt ends as server_unreachable, and the request goes on as after a lost connection, a stream after its last whole event. A server that can be reached is slow, and its requests stay where they are.

--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -40,6 +40,7 @@
     , m_time(time)
     , m_random(std::random_device()())
     , m_client(loop)
+    , m_probe(loop)
     , m_store(
           loop, m_client, settings, { settings.id, settings.failureDomain, settings.peers }, *this, m_random, time, log)
     , m_state(keyLifetime(settings))
@@ -52,7 +53,7 @@
     , m_retries(settings.retryShare * retryShareOfBound, retryReserve)
     , m_logBudget(logLinesPerSecond)
     , m_failureLogBudget(failureLogLinesPerSecond)
-    , m_shared { loop, time, m_random, log, m_client, m_protocol, settings.failureDomain, m_state, m_rollouts,
+    , m_shared { loop, time, m_random, log, m_client, m_probe, m_protocol, settings.failureDomain, m_state, m_rollouts,
         m_rolloutSystem, m_sessions, m_servers, m_crashes, m_escalation, m_largestPace, m_retries, m_metrics,
         m_logBudget, m_failureLogBudget, m_usualLatency }
     , m_gateway(m_shared)
@@ -63,6 +64,7 @@
 {
     m_sharing.tick(now);
     m_rolloutSystem.tick(now);
+    m_gateway.tick(now);
     if (now < m_nextSweep)
         return;
     m_nextSweep = now + sweepInterval;
--- a/apps/pollenrouted/platform_relay.h
+++ b/apps/pollenrouted/platform_relay.h
@@ -34,6 +34,7 @@
     const clock& m_time;
     random_source m_random;
     http_client m_client;
+    connection_probe m_probe;
     platform_store m_store;
     relay_state m_state;
     rollout_table m_rollouts;
--- a/libs/ctl/src/fleet_log.cpp
+++ b/libs/ctl/src/fleet_log.cpp
@@ -55,6 +55,7 @@
         { "not_run", "every server that was tried turned it away" },
         { "server_error", "the server answered with an error of its own" },
         { "connect_failed", "nothing answered at the servers' addresses" },
+        { "server_unreachable", "the server fell silent and nothing accepts connections at its address" },
         { "connection_lost", "the server's connection broke while it ran the request, which may not be repeated" },
         { "malformed_response", "the server sent bytes that are not an answer" },
         { "response_too_large", "the server's answer was larger than allowed" },
--- /dev/null
+++ b/libs/http/src/connection_probe.cpp
@@ -0,0 +1,87 @@
+#include <http/connection_probe.h>
+
+#include <base/socket_address.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <utility>
+
+namespace pollen {
+
+namespace {
+
+// What the callback of a bufferevent needs; owned by the bufferevent until it is freed.
+struct probe_target {
+    std::function<void(bool)> finish;
+};
+
+timeval toTimeval(duration span)
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(span);
+    return { seconds.count(), std::chrono::duration_cast<std::chrono::microseconds>(span - seconds).count() };
+}
+
+} // namespace
+
+connection_probe::connection_probe(event_loop& loop)
+    : m_loop(loop)
+    , m_alive(std::make_shared<bool>(true))
+{
+}
+
+connection_probe::~connection_probe()
+{
+    for (const auto& [server, running] : m_probes) {
+        void* target = nullptr;
+        bufferevent_getcb(running->connection, nullptr, nullptr, nullptr, &target);
+        bufferevent_free(running->connection);
+        delete static_cast<probe_target*>(target);
+    }
+}
+
+void connection_probe::ask(const endpoint& server, duration atMost, callback done)
+{
+    std::unique_ptr<probe>& running = m_probes[server];
+    if (running) {
+        running->waiting.push_back(std::move(done));
+        return;
+    }
+    running = std::make_unique<probe>();
+    running->waiting.push_back(std::move(done));
+    running->connection = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    const auto onEvent = [](bufferevent*, short what, void* target) {
+        static_cast<probe_target*>(target)->finish((what & BEV_EVENT_CONNECTED) != 0);
+    };
+    auto* target = new probe_target { [this, server](bool reachable) { finish(server, reachable); } };
+    bufferevent_setcb(running->connection, nullptr, nullptr, onEvent, target);
+    const timeval limit = toTimeval(atMost);
+    bufferevent_set_timeouts(running->connection, nullptr, &limit);
+    bufferevent_enable(running->connection, EV_WRITE);
+    socket_address address = toSocketAddress(server);
+    if (bufferevent_socket_connect(running->connection, address.get(), static_cast<int>(address.length)) == 0)
+        return;
+    m_loop.post([this, server, alive = std::weak_ptr<bool>(m_alive)] {
+        if (!alive.expired())
+            finish(server, false);
+    });
+}
+
+void connection_probe::finish(const endpoint& server, bool reachable)
+{
+    const auto found = m_probes.find(server);
+    if (found == m_probes.end())
+        return;
+    const std::unique_ptr<probe> ended = std::move(found->second);
+    m_probes.erase(found);
+    void* target = nullptr;
+    bufferevent_getcb(ended->connection, nullptr, nullptr, nullptr, &target);
+    bufferevent_setcb(ended->connection, nullptr, nullptr, nullptr, nullptr);
+    // The connection is in the middle of its own callback.
+    m_loop.post([connection = ended->connection, target] {
+        bufferevent_free(connection);
+        delete static_cast<probe_target*>(target);
+    });
+    for (const callback& done : ended->waiting)
+        done(reachable);
+}
+
+} // namespace pollen
--- a/libs/relay/include/relay/relay_dependencies.h
+++ b/libs/relay/include/relay/relay_dependencies.h
@@ -2,6 +2,7 @@
 
 #include <base/logger.h>
 #include <base/random_source.h>
+#include <http/connection_probe.h>
 #include <http/http_client.h>
 #include <map>
 #include <policy/retry_budget.h>
@@ -25,6 +26,7 @@
     random_source& random;
     logger& log;
     http_client& client;
+    connection_probe& probe;
     const relay_protocol& protocol;
     failure_domain_name failureDomain;
     relay_state& state;
--- a/libs/relay/include/relay/relay_gateway.h
+++ b/libs/relay/include/relay/relay_gateway.h
@@ -19,6 +19,9 @@
     // Handles one request. Every request gets exactly one answer.
     void handle(const std::shared_ptr<server_request>& request);
 
+    // Looks for servers that have fallen silent while they run requests.
+    void tick(time_point now);
+
     // Readiness: the fleet is known, keys can be trusted, and the daemon is not stopping.
     bool ready() const;
     void setDraining() { m_draining = true; }
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+// Connections within a region take a few milliseconds.
+constexpr duration probeTimeout = std::chrono::milliseconds(250);
 constexpr duration connectTimeout = std::chrono::milliseconds(400);
 // A call that must not run twice goes over a kept connection only when that was in use a moment ago.
 constexpr duration freshIdle = std::chrono::milliseconds(1000);
@@ -107,6 +109,24 @@
     return true;
 }
 
+void relay_exchange::tick(time_point now)
+{
+    // What may not be sent again gains nothing from knowing.
+    if (!m_exchange || m_paused || !m_route->mayRepeat() || !m_silence.isDue(now))
+        return;
+    m_silence.ask();
+    m_dependencies.probe.ask(m_serverAddress, probeTimeout,
+        [weak = weak_from_this(), attempt = m_attempts, &time = m_dependencies.time](bool reachable) {
+            const auto self = weak.lock();
+            if (!self || !self->m_exchange || self->m_attempts != attempt)
+                return;
+            if (reachable)
+                self->m_silence.reachable(time.now());
+            else
+                self->onServerUnreachable();
+        });
+}
+
 bool relay_exchange::isLargestModel() const
 {
     return m_traits.anyModel && m_model > 0 && m_model + 1 == m_route->models.size();
@@ -237,6 +257,7 @@
     send_order order;
     order.server = m_serverId;
     order.timeLeft = timeLeft();
+    m_silence.start(m_sent, choice.wait, order.timeLeft);
     if (m_team)
         order.team = m_team->name;
     order.model = placement.model;
@@ -262,6 +283,7 @@
 
 void relay_exchange::onHead(int status, const http_headers& headers)
 {
+    m_silence.hear(m_dependencies.time.now());
     m_status = status;
     m_answer = m_dependencies.protocol.readAnswer(status, headers);
     server_table& servers = m_dependencies.state.servers();
@@ -348,6 +370,7 @@
 
 void relay_exchange::onData(std::string_view bytes)
 {
+    m_silence.hear(m_dependencies.time.now());
     if (m_discard)
         return;
     if (!isStreamAnswer()) {
@@ -376,6 +399,7 @@
     m_exchange->pauseReading();
     m_request->callWhenSent([self = shared_from_this()] {
         self->m_paused = false;
+        self->m_silence.hear(self->m_dependencies.time.now());
         if (self->m_exchange)
             self->m_exchange->resumeReading();
     });
@@ -466,6 +490,18 @@
     tryAgain(toText(result.failure), result.failure != exchange_failure::ConnectFailed);
 }
 
+void relay_exchange::onServerUnreachable()
+{
+    m_exchange.reset();
+    m_dependencies.state.servers().reportUnreachable(*m_server, m_dependencies.time.now());
+    releaseServer();
+    m_events.dropRest();
+    m_body.clear();
+    m_run = run_knowledge::MayHaveRun;
+    m_runs += m_status == 0 ? 1 : 0;
+    tryAgain("server_unreachable", true);
+}
+
 // Goes on with another server if the request may run there, or ends.
 void relay_exchange::tryAgain(const char* reason, bool arrived)
 {
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -6,6 +6,7 @@
 #include <relay/attempt_history.h>
 #include <relay/event_splitter.h>
 #include <relay/relay_dependencies.h>
+#include <relay/silence_watch.h>
 
 namespace pollen {
 
@@ -27,6 +28,9 @@
     // onEnd is called once, when nothing more will happen; possibly from inside start().
     void start(std::function<void()> onEnd);
 
+    // Looks for silence of the server.
+    void tick(time_point now);
+
 private:
     void onHead(int status, const http_headers& headers) override;
     void onData(std::string_view bytes) override;
@@ -63,6 +67,8 @@
     void onCallerGone();
     void releaseServer();
     void noteAttemptEnd(const char* reason);
+    // Nothing accepts connections at the address of the silent server any more.
+    void onServerUnreachable();
     void end(const std::string& outcome);
 
     relay_dependencies& m_dependencies;
@@ -110,6 +116,7 @@
     bool m_paused = false;
     const char* m_lastReason = "";
     attempt_history m_history;
+    silence_watch m_silence;
 };
 
 } // namespace pollen
--- a/libs/relay/src/relay_gateway.cpp
+++ b/libs/relay/src/relay_gateway.cpp
@@ -39,6 +39,12 @@
     });
 }
 
+void relay_gateway::tick(time_point now)
+{
+    for (const auto& exchange : m_open)
+        exchange->tick(now);
+}
+
 bool relay_gateway::ready() const
 {
     const relay_state& state = m_dependencies.state;
--- a/libs/relay/tests/relay_values_test.cpp
+++ b/libs/relay/tests/relay_values_test.cpp
@@ -7,6 +7,7 @@
 #include <relay/log_budget.h>
 #include <relay/relay_state.h>
 #include <relay/session_versions.h>
+#include <relay/silence_watch.h>
 
 namespace pollen {
 
@@ -134,6 +135,32 @@
     EXPECT_FALSE(watch.isSuspect(1, start + std::chrono::minutes(2)));
 }
 
+// Pattern: some engines are slow under load and some are cut off; both are silent.
+TEST(SilenceWatch, LooksIntoSilenceBeyondWhatWasExpected)
+{
+    const auto after = [](int milliseconds) { return start + std::chrono::milliseconds(milliseconds); };
+    silence_watch watch;
+    EXPECT_FALSE(watch.isDue(start)) << "nothing has been sent";
+    watch.start(start, std::chrono::milliseconds(500), std::chrono::seconds(12));
+    EXPECT_FALSE(watch.isDue(after(1200)));
+    EXPECT_TRUE(watch.isDue(after(1300)));
+    watch.ask();
+    EXPECT_FALSE(watch.isDue(after(1300))) << "it is being looked into";
+    watch.reachable(after(1400));
+    EXPECT_FALSE(watch.isDue(after(2900)));
+    EXPECT_TRUE(watch.isDue(after(3000)));
+    watch.hear(after(3000));
+    EXPECT_FALSE(watch.isDue(after(3700)));
+    EXPECT_TRUE(watch.isDue(after(3800)));
+}
+
+TEST(SilenceWatch, AShortDeadlineLeavesTimeForAnotherTry)
+{
+    silence_watch watch;
+    watch.start(start, duration(0), std::chrono::milliseconds(600));
+    EXPECT_TRUE(watch.isDue(start + std::chrono::milliseconds(150)));
+}
+
 TEST(AttemptHistory, TellsWhatWasTriedAndHowItEnded)
 {
     attempt_history history;
--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -49,6 +49,7 @@
     {
         return std::string(findHeader(m_requests.at(request).headers, name));
     }
+    void stopListening() { m_server->stopAccepting(); }
     std::vector<std::shared_ptr<server_request>> held;
     size_t hungUp = 0;
 
@@ -286,6 +287,46 @@
     EXPECT_EQ(engine.header(1, "Pollenroute-Model"), "large");
 }
 
+// Pattern: a server is cut off or loses power while it runs requests; its connections stay open and nothing arrives.
+TEST_F(RelayPathTest, WhatRunsOnAServerThatCannotBeReachedGoesElsewhere)
+{
+    start();
+    for (const bool begun : { false, true }) {
+        std::vector<std::shared_ptr<server_request>> held;
+        std::unique_ptr<backend_standin> cut;
+        std::unique_ptr<backend_standin> other;
+        // Whichever is asked first stops listening, keeps the connection and says nothing more.
+        const auto script = [&](std::unique_ptr<backend_standin>& self) {
+            return [&](const std::shared_ptr<server_request>& request) {
+                if (!held.empty()) {
+                    streams(4, true)(request);
+                    return;
+                }
+                held.push_back(request);
+                if (begun) {
+                    request->startStream(200, answerHeaders(*request));
+                    request->sendPart(event(1));
+                }
+                self->stopListening();
+            };
+        };
+        cut = std::make_unique<backend_standin>(m_loop, std::vector<behaviour> { script(cut) });
+        other = std::make_unique<backend_standin>(m_loop, std::vector<behaviour> { script(other) });
+        list("i-1", "advice", *cut);
+        list("i-2", "advice", *other);
+        ASSERT_TRUE(eventually([&] {
+            const auto row = m_relay.state().servers().find(instance_id("i-2"));
+            return row && m_relay.state().servers().row(*row).entry.address == other->address();
+        }));
+        http_request patient = request("POST", "/s/x", { { "Pollenroute-Deadline-Ms", "4000" } });
+        const auto [result, response] = send(patient);
+        EXPECT_EQ(response.body, event(1) + event(2) + event(3) + event(4)) << (begun ? "begun" : "not begun");
+        for (const char* id : { "i-1", "i-2" })
+            m_store.put("keyed.servers", id, std::nullopt);
+        ASSERT_TRUE(eventually([&] { return !m_relay.state().servers().find(instance_id("i-2")); }));
+    }
+}
+
 // Pattern: the largest model would begin in time and still be writing when the caller's time is up.
 TEST_F(RelayPathTest, TheLargestModelIsNotAskedForMoreThanItCanWriteInTime)
 {
