--- a/apps/pollenrouted/platform_daemon.cpp
+++ b/apps/pollenrouted/platform_daemon.cpp
@@ -58,7 +58,7 @@
         p.loop, settings.readiness, http_server_limits {}, [&p](const std::shared_ptr<server_request>& request) {
             const std::string_view path = targetPath(request->request().target);
             if (path == "/metrics")
-                request->reply(200, { { "Content-Type", "text/plain; version=0.0.4" } }, p.relay.metrics().render());
+                request->reply(200, { { "Content-Type", "text/plain; version=0.0.4" } }, p.relay.renderMetrics());
             else if (path == readinessPath)
                 request->reply(p.relay.gateway().ready() ? 200 : 503, {}, "");
             else
--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -73,6 +73,12 @@
     m_crashes.sweep(now);
 }
 
+std::string platform_relay::renderMetrics()
+{
+    m_metrics.setState(m_time.now() - m_state.configurationKnown(), m_gateway.openRequests());
+    return m_metrics.render();
+}
+
 void platform_relay::onConfiguration(relay_configuration configuration)
 {
     const uint64_t version = configuration.version;
--- a/apps/pollenrouted/platform_relay.h
+++ b/apps/pollenrouted/platform_relay.h
@@ -19,7 +19,8 @@
     void tick(time_point now);
 
     relay_gateway& gateway() { return m_gateway; }
-    const relay_metrics& metrics() const { return m_metrics; }
+    // Prometheus text format.
+    std::string renderMetrics();
     const relay_state& state() const { return m_state; }
 
 private:
--- a/libs/relay/include/relay/relay_metrics.h
+++ b/libs/relay/include/relay/relay_metrics.h
@@ -4,20 +4,25 @@
 #include <map>
 #include <memory>
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <string>
 
 namespace pollen {
 
-// Counters and latency histograms of the relay, by route.
+// Counters and latency histograms of the relay, by route and by team.
 class relay_metrics {
 public:
     relay_metrics();
 
-    void countOutcome(const std::string& route, const std::string& outcome);
+    // Empty texts where the route or the team was not found, or where there is no reason.
+    void countOutcome(
+        const std::string& route, const std::string& team, const std::string& outcome, const std::string& reason);
     void countSend(const std::string& service);
-    void observeFirstByte(const std::string& route, duration latency);
+    void observeFirstByte(const std::string& route, const std::string& team, duration latency);
+    // State at the time of asking. configurationAge: since the configuration was last known to be the newest.
+    void setState(duration configurationAge, size_t openRequests);
 
     // Prometheus text format.
     std::string render() const;
@@ -27,6 +32,9 @@
     prometheus::Family<prometheus::Counter>& m_outcomes;
     prometheus::Family<prometheus::Counter>& m_sends;
     prometheus::Family<prometheus::Histogram>& m_latency;
+    prometheus::Family<prometheus::Histogram>& m_teamLatency;
+    prometheus::Gauge& m_configurationAge;
+    prometheus::Gauge& m_openRequests;
 };
 
 } // namespace pollen
--- /dev/null
+++ b/libs/relay/src/admission.cpp
@@ -0,0 +1,68 @@
+#include "admission.h"
+
+#include "request_hash.h"
+
+namespace pollen {
+
+namespace {
+
+// For callers that do not say how long they wait.
+constexpr duration defaultDeadline = std::chrono::seconds(30);
+// A daemon that has just started reads the fleet within a tenth of a second.
+constexpr duration retryAfterStart = std::chrono::milliseconds(150);
+// Another daemon may know a newer configuration.
+constexpr duration retryAfterOutdated = std::chrono::milliseconds(800);
+constexpr duration retryAfterSuspect = std::chrono::seconds(60);
+
+constexpr int statusUnauthorized = 401;
+constexpr int statusNotFound = 404;
+constexpr int statusBadRequest = 400;
+constexpr int statusUnavailable = 503;
+
+std::optional<refusal> findTeam(
+    admission& found, const relay_state& state, const request_traits& traits, time_point now)
+{
+    if (!found.configuration->configuration().teams || found.route->isPublic)
+        return std::nullopt;
+    if (state.keysOutdated(now))
+        return refusal { statusUnavailable, "keys_outdated", retryAfterOutdated };
+    found.team = found.configuration->findTeam(traits.key);
+    if (!found.team)
+        return refusal { statusUnauthorized, "unknown_key", std::nullopt };
+    return std::nullopt;
+}
+
+} // namespace
+
+admission admit(
+    const relay_dependencies& dependencies, const http_request& request, const request_traits& traits, time_point now)
+{
+    admission found;
+    found.configuration = dependencies.state.configuration();
+    if (!found.configuration || !dependencies.state.serversKnown()) {
+        found.refused = refusal { statusUnavailable, "no_configuration", retryAfterStart };
+        return found;
+    }
+    const std::string host(findHeader(request.headers, "Host"));
+    found.route = found.configuration->findRoute(host, targetPath(request.target));
+    if (!found.route) {
+        found.refused = refusal { statusNotFound, "unknown_route", std::nullopt };
+        return found;
+    }
+    if (traits.id.empty()) {
+        found.refused = refusal { statusBadRequest, "no_request_id", std::nullopt };
+        return found;
+    }
+    found.refused = findTeam(found, dependencies.state, traits, now);
+    if (found.refused)
+        return found;
+    const duration callerTime = traits.timeLeft.value_or(defaultDeadline);
+    const duration routeTime = found.route->timeout;
+    found.deadline = now + (routeTime.count() > 0 ? std::min(callerTime, routeTime) : callerTime);
+    found.fingerprint = hashOf(traits.key) ^ hashOf(request.target) * 3 ^ hashOf(request.body) * 7;
+    if (dependencies.crashes.isSuspect(found.fingerprint, now))
+        found.refused = refusal { statusUnavailable, "request_breaks_servers", retryAfterSuspect };
+    return found;
+}
+
+} // namespace pollen
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -1,7 +1,8 @@
 #include "relay_exchange.h"
 
+#include "request_target.h"
+
 #include <algorithm>
-#include <xxhash.h>
 
 namespace pollen {
 
@@ -17,10 +18,7 @@
 constexpr size_t streamBufferBytes = 256U << 10;
 // The shortest time that is worth sending a request for.
 constexpr duration shortestSend = std::chrono::milliseconds(5);
-constexpr duration defaultDeadline = std::chrono::seconds(30);
-constexpr duration retryAfterNotReady = std::chrono::milliseconds(800);
 constexpr duration retryAfterFull = std::chrono::milliseconds(400);
-constexpr duration retryAfterSuspect = std::chrono::seconds(60);
 constexpr double usualLatencyWeight = 0.05;
 // An answer is slow when its first byte takes so many times as long as usual.
 constexpr double slowFactor = 3;
@@ -34,18 +32,10 @@
 
 constexpr int statusOk = 200;
 constexpr int firstServerError = 500;
-constexpr int statusUnauthorized = 401;
-constexpr int statusNotFound = 404;
-constexpr int statusBadRequest = 400;
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
 constexpr int statusGatewayTimeout = 504;
 
-uint64_t hashOf(std::string_view text) { return XXH64(text.data(), text.size(), 0); }
-
-// A number from 0 up to 1 that is the same for the same text in every daemon.
-double pointOf(uint64_t hash) { return static_cast<double>(hash >> 11) / static_cast<double>(uint64_t { 1 } << 53); }
-
 } // namespace
 
 relay_exchange::relay_exchange(relay_dependencies& dependencies, std::shared_ptr<server_request> request)
@@ -61,58 +51,20 @@
 {
     m_onEnd = std::move(onEnd);
     m_traits = m_dependencies.protocol.readRequest(m_request->request());
-    if (!admit())
+    m_admission = admit(m_dependencies, m_request->request(), m_traits, m_start);
+    if (m_admission.refused) {
+        refuse(m_admission.refused->status, m_admission.refused->type, m_admission.refused->retryAfter);
         return;
-    m_request->setHangUpCallback([self = shared_from_this()] { self->onCallerGone(); });
-    attempt();
-}
-
-// Finds the route and the team. False when the request has been answered.
-bool relay_exchange::admit()
-{
-    const time_point now = m_start;
-    m_configuration = m_dependencies.state.configuration();
-    if (!m_configuration || !m_dependencies.state.serversKnown()) {
-        refuse(statusUnavailable, "no_configuration", retryAfterNotReady);
-        return false;
-    }
-    const http_request& request = m_request->request();
-    const std::string host(findHeader(request.headers, "Host"));
-    m_route = m_configuration->findRoute(host, targetPath(request.target));
-    if (!m_route) {
-        refuse(statusNotFound, "unknown_route");
-        return false;
-    }
-    if (m_traits.id.empty()) {
-        refuse(statusBadRequest, "no_request_id");
-        return false;
-    }
-    if (m_configuration->configuration().teams && !m_route->isPublic) {
-        if (m_dependencies.state.keysOutdated(now)) {
-            refuse(statusUnavailable, "keys_outdated", retryAfterNotReady);
-            return false;
-        }
-        m_team = m_configuration->findTeam(m_traits.key);
-        if (!m_team) {
-            refuse(statusUnauthorized, "unknown_key");
-            return false;
-        }
-    }
-    const duration callerTime = m_traits.timeLeft.value_or(defaultDeadline);
-    m_deadline = now + std::min(callerTime, m_route->timeout.count() > 0 ? m_route->timeout : callerTime);
-    m_fingerprint = hashOf(m_traits.key) ^ hashOf(request.target) * 3 ^ hashOf(request.body) * 7;
-    if (m_dependencies.crashes.isSuspect(m_fingerprint, now)) {
-        refuse(statusUnavailable, "request_breaks_servers", retryAfterSuspect);
-        return false;
     }
     m_dependencies.retries.onRequest();
-    return true;
+    m_request->setHangUpCallback([self = shared_from_this()] { self->onCallerGone(); });
+    attempt();
 }
 
 void relay_exchange::tick(time_point now)
 {
     // What may not be sent again gains nothing from knowing.
-    if (!m_exchange || m_paused || !m_route->mayRepeat() || !m_silence.isDue(now))
+    if (!m_exchange || m_paused || !m_admission.route->mayRepeat() || !m_silence.isDue(now))
         return;
     m_silence.ask();
     m_dependencies.probe.ask(m_serverAddress, probeTimeout,
@@ -129,71 +81,14 @@
 
 bool relay_exchange::isLargestModel() const
 {
-    return m_traits.anyModel && m_model > 0 && m_model + 1 == m_route->models.size();
+    return m_traits.anyModel && m_model > 0 && m_model + 1 == m_admission.route->models.size();
 }
 
-uint32_t relay_exchange::expectedTokens() const { return m_traits.expectedTokens.value_or(m_traits.outputTokens); }
-
-duration relay_exchange::timeLeft() const { return m_deadline - m_dependencies.time.now(); }
+std::string relay_exchange::teamName() const { return m_admission.team ? m_admission.team->name.text() : ""; }
 
-uint64_t relay_exchange::sessionKey() const
-{
-    if (!m_traits.session.empty())
-        return hashOf(m_traits.session);
-    if (!m_traits.parts.empty())
-        return m_traits.parts.back().id;
-    return hashOf(m_traits.id.text());
-}
-
-void relay_exchange::chooseVersion(placement_request& request) const
-{
-    const rollout_row* row = m_dependencies.rollouts.find(request.service);
-    if (!row)
-        return;
-    const version_name& target = row->order.target;
-    switch (row->state) {
-    case rollout_state::Complete:
-        request.onlyVersion = target;
-        return;
-    case rollout_state::RolledBack:
-        request.notVersion = target;
-        return;
-    case rollout_state::Running:
-        break;
-    }
-    if (row->condemned) {
-        request.notVersion = target;
-        return;
-    }
-    const uint64_t session = sessionKey();
-    const auto last = m_dependencies.sessions.find(session, m_start);
-    const double point = pointOf(hashOf({ reinterpret_cast<const char*>(&session), sizeof session }));
-    const bool onTarget = point < row->share || (last && *last == target);
-    (onTarget ? request.onlyVersion : request.notVersion) = target;
-}
+uint32_t relay_exchange::expectedTokens() const { return m_traits.expectedTokens.value_or(m_traits.outputTokens); }
 
-placement_request relay_exchange::makePlacementRequest() const
-{
-    placement_request request;
-    uint32_t total = 0;
-    for (const route_target& target : m_route->targets)
-        total += target.weight;
-    auto point = static_cast<uint32_t>(pointOf(hashOf(m_traits.id.text())) * total);
-    for (const route_target& target : m_route->targets) {
-        request.service = target.service;
-        if (point < target.weight)
-            break;
-        point -= target.weight;
-    }
-    if (m_traits.anyModel && !m_route->models.empty())
-        request.model = m_route->models[m_model];
-    request.parts = m_traits.parts;
-    request.promptTokens = m_traits.promptTokens;
-    request.excluded = m_tried;
-    request.failureDomain = m_dependencies.failureDomain;
-    chooseVersion(request);
-    return request;
-}
+duration relay_exchange::timeLeft() const { return m_admission.deadline - m_dependencies.time.now(); }
 
 void relay_exchange::attempt()
 {
@@ -202,8 +97,9 @@
         giveUp("no_time_left");
         return;
     }
-    placement_request placement = makePlacementRequest();
-    const relay_service* service = m_configuration->findService(placement.service);
+    placement_request placement = makePlacementRequest(m_dependencies, *m_admission.route, m_traits, m_model, m_start);
+    placement.excluded = m_tried;
+    const relay_service* service = m_admission.configuration->findService(placement.service);
     if (!service) {
         giveUp("no_such_service");
         return;
@@ -248,7 +144,7 @@
     m_history.addAttempt(m_sent - m_start, m_serverId, placement.model, choice.wait);
     servers.addRequest(choice.server);
     servers.addUnreadTokens(choice.server, m_unreadTokens);
-    m_dependencies.sessions.use(sessionKey(), m_version, m_sent);
+    m_dependencies.sessions.use(sessionKey(m_traits), m_version, m_sent);
     const rollout_row* rollout = m_dependencies.rollouts.find(m_service);
     m_countsAsOther = rollout && rollout->order.target != m_version;
     if (m_countsAsOther)
@@ -258,16 +154,18 @@
     order.server = m_serverId;
     order.timeLeft = timeLeft();
     m_silence.start(m_sent, choice.wait, order.timeLeft);
-    if (m_team)
-        order.team = m_team->name;
+    if (m_admission.team)
+        order.team = m_admission.team->name;
     order.model = placement.model;
-    order.urgency = std::clamp(m_team && m_team->priority ? *m_team->priority : m_route->priority, 0, 9);
+    order.urgency = std::clamp(
+        m_admission.team && m_admission.team->priority ? *m_admission.team->priority : m_admission.route->priority, 0,
+        9);
     if (m_streamStarted)
         order.lastEvent = m_events.lastEvent();
     exchange_options options;
     options.timeout = order.timeLeft;
     options.connectTimeout = std::min(connectTimeout, order.timeLeft);
-    options.maximumIdle = m_route->mayRepeat() ? longestIdle : freshIdle;
+    options.maximumIdle = m_admission.route->mayRepeat() ? longestIdle : freshIdle;
     options.echoHeader = m_dependencies.protocol.requestIdHeader();
     options.echoValue = m_traits.id.text();
     m_exchange = m_dependencies.client.start(
@@ -277,8 +175,8 @@
 // Attempts that reached no server, or that a server turned away, are bounded as well, but more generously.
 bool relay_exchange::mayTryAgain() const
 {
-    return m_runs < m_route->maximumAttempts && m_attempts < m_route->maximumAttempts + mostVainAttempts
-        && timeLeft() > shortestSend;
+    return m_runs < m_admission.route->maximumAttempts
+        && m_attempts < m_admission.route->maximumAttempts + mostVainAttempts && timeLeft() > shortestSend;
 }
 
 void relay_exchange::onHead(int status, const http_headers& headers)
@@ -303,7 +201,7 @@
         ++m_runs;
     }
     const bool failed = status >= firstServerError;
-    m_discard = notRun || m_streamStarted || (failed && m_route->mayRepeat() && mayTryAgain());
+    m_discard = notRun || m_streamStarted || (failed && m_admission.route->mayRepeat() && mayTryAgain());
     if (m_streamStarted && status == statusOk)
         m_discard = false;
     if (!m_discard && !m_streamStarted && tryEscalation())
@@ -316,20 +214,19 @@
 // expected to begin within the latency objective and to end before the deadline.
 bool relay_exchange::tryEscalation()
 {
-    if (!m_traits.anyModel || m_model + 1 >= m_route->models.size() || m_status != statusOk || m_anyAnswer)
+    if (!m_traits.anyModel || m_model + 1 >= m_admission.route->models.size() || m_status != statusOk || m_anyAnswer)
         return false;
     if (!m_answer.confidence || *m_answer.confidence >= m_dependencies.escalation.sufficientConfidence()
         || !mayTryAgain())
         return false;
-    const size_t model = std::exchange(m_model, m_route->models.size() - 1);
+    const size_t model = std::exchange(m_model, m_admission.route->models.size() - 1);
     const time_point now = m_dependencies.time.now();
-    placement_request placement = makePlacementRequest();
-    placement.excluded.clear();
-    const relay_service* service = m_configuration->findService(placement.service);
+    placement_request placement = makePlacementRequest(m_dependencies, *m_admission.route, m_traits, m_model, m_start);
+    const relay_service* service = m_admission.configuration->findService(placement.service);
     const auto choice = service
         ? m_dependencies.servers.choose(placement, m_dependencies.state.servers(), *service, now)
         : std::nullopt;
-    const duration left = m_route->latencyObjective - (now - m_start);
+    const duration left = m_admission.route->latencyObjective - (now - m_start);
     const duration answering = m_dependencies.largestPace.expect(placement.service, expectedTokens());
     const bool worthIt = choice && choice->wait + answering < timeLeft()
         && m_dependencies.escalation.isWorthAsking(*m_answer.confidence, choice->wait, left);
@@ -349,7 +246,7 @@
     noteAttemptEnd("escalated");
     m_tried.clear();
     m_lastReason = "escalated";
-    const relay_service* service = m_configuration->findService(placement.service);
+    const relay_service* service = m_admission.configuration->findService(placement.service);
     m_dependencies.servers.remember(
         m_dependencies.state.servers().row(choice.server).entry.id, placement, service->engine->cacheTokens);
     send(choice, placement);
@@ -358,7 +255,7 @@
 // Asks the smallest model again when the largest could not answer. False when that is not possible.
 bool relay_exchange::fallBack()
 {
-    if (m_model == 0 || m_anyAnswer || m_streamStarted || !m_route->mayRepeat() || !mayTryAgain())
+    if (m_model == 0 || m_anyAnswer || m_streamStarted || !m_admission.route->mayRepeat() || !mayTryAgain())
         return false;
     m_anyAnswer = true;
     m_model = 0;
@@ -388,8 +285,8 @@
         m_streamStarted = true;
         m_firstByte = m_dependencies.time.now();
         if (m_traits.anyModel)
-            m_dependencies.escalation.countAnswer(m_firstByte - m_start <= m_route->latencyObjective);
-        m_dependencies.metrics.observeFirstByte(m_route->name, m_firstByte - m_start);
+            m_dependencies.escalation.countAnswer(m_firstByte - m_start <= m_admission.route->latencyObjective);
+        m_dependencies.metrics.observeFirstByte(m_admission.route->name, teamName(), m_firstByte - m_start);
         m_request->startStream(m_status, m_headers);
     }
     m_request->sendPart(events);
@@ -432,7 +329,7 @@
 {
     const double took = toSeconds(m_dependencies.time.now() - m_sent) * 1000;
     const double normalized = took / (baseMilliseconds + m_traits.promptTokens * readMillisecondsPerToken);
-    double& usual = m_dependencies.usualLatency[m_route->name];
+    double& usual = m_dependencies.usualLatency[m_admission.route->name];
     const bool slow = usual > 0 && normalized > usual * slowFactor;
     if (good && (m_countsAsOther || !m_dependencies.rollouts.find(m_service)))
         usual += (normalized - usual) * (usual > 0 ? usualLatencyWeight : 1);
@@ -453,7 +350,8 @@
         m_request->endStream();
         countPace();
     } else {
-        m_dependencies.metrics.observeFirstByte(m_route->name, m_dependencies.time.now() - m_start);
+        m_dependencies.metrics.observeFirstByte(
+            m_admission.route->name, teamName(), m_dependencies.time.now() - m_start);
         m_request->reply(m_status, m_headers, m_body);
     }
     const bool answered = m_status < firstServerError;
@@ -479,7 +377,7 @@
         m_runs += result.responseStarted ? 0 : 1;
         countAnswer(false);
         if (result.refused)
-            m_dependencies.crashes.countBreak(m_fingerprint, now);
+            m_dependencies.crashes.countBreak(m_admission.fingerprint, now);
     }
     if (timedOut) {
         countPace();
@@ -507,8 +405,8 @@
 {
     noteAttemptEnd(reason);
     m_lastReason = reason;
-    const bool allowed = m_run == run_knowledge::NotRun || m_route->mayRepeat();
-    const bool suspect = m_dependencies.crashes.isSuspect(m_fingerprint, m_dependencies.time.now());
+    const bool allowed = m_run == run_knowledge::NotRun || m_admission.route->mayRepeat();
+    const bool suspect = m_dependencies.crashes.isSuspect(m_admission.fingerprint, m_dependencies.time.now());
     // What has not reached a server is no repeat.
     const bool mayRepeat = allowed && !suspect && mayTryAgain() && (!arrived || m_dependencies.retries.take());
     if (!mayRepeat) {
@@ -582,17 +480,19 @@
         return;
     const time_point now = m_dependencies.time.now();
     noteAttemptEnd(outcome.c_str());
-    m_dependencies.metrics.countOutcome(m_route ? m_route->name : "", outcome);
+    m_dependencies.metrics.countOutcome(
+        m_admission.route ? m_admission.route->name : "", teamName(), outcome, m_lastReason);
     const bool good = outcome == "answered";
     log_budget& budget = good ? m_dependencies.logBudget : m_dependencies.failureLogBudget;
     if (budget.take(now)) {
         m_dependencies.log.write(good ? log_level::Info : log_level::Warning, "request_ended",
-            { { "request", m_traits.id.text() }, { "route", m_route ? m_route->name : "" }, { "outcome", outcome },
-                { "reason", m_lastReason }, { "status", m_status }, { "server", m_serverId.text() },
-                { "attempts", static_cast<int64_t>(m_attempts) }, { "history", m_history.text() },
-                { "session", m_traits.session }, { "parts", static_cast<int64_t>(m_traits.parts.size()) },
-                { "ms", toMilliseconds(now - m_start) },
-                { "configuration", m_configuration ? m_configuration->configuration().version : 0 } });
+            { { "request", m_traits.id.text() }, { "route", m_admission.route ? m_admission.route->name : "" },
+                { "outcome", outcome }, { "reason", m_lastReason }, { "status", m_status },
+                { "server", m_serverId.text() }, { "attempts", static_cast<int64_t>(m_attempts) },
+                { "history", m_history.text() }, { "team", teamName() }, { "session", m_traits.session },
+                { "parts", static_cast<int64_t>(m_traits.parts.size()) }, { "ms", toMilliseconds(now - m_start) },
+                { "configuration",
+                    m_admission.configuration ? m_admission.configuration->configuration().version : 0 } });
     }
     const auto onEnd = std::exchange(m_onEnd, nullptr);
     onEnd();
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "admission.h"
+
 #include <functional>
 #include <http/http_server.h>
 #include <memory>
@@ -36,19 +38,17 @@
     void onData(std::string_view bytes) override;
     void onFinished(const exchange_result& result) override;
 
-    bool admit();
     void attempt();
-    placement_request makePlacementRequest() const;
-    void chooseVersion(placement_request& request) const;
-    uint64_t sessionKey() const;
     void send(const placement_choice& choice, const placement_request& placement);
     duration timeLeft() const;
     bool isLargestModel() const;
+    // Empty for routes that anybody may use.
+    std::string teamName() const;
     // Tokens that the caller expects to be generated.
     uint32_t expectedTokens() const;
     void countPace();
 
-    bool isStreamAnswer() const { return m_route->streaming && m_status == 200; }
+    bool isStreamAnswer() const { return m_admission.route->streaming && m_status == 200; }
     bool mayTryAgain() const;
     bool tryEscalation();
     void escalate(const placement_choice& choice, const placement_request& placement);
@@ -77,12 +77,7 @@
     time_point m_start;
     // When the caller was sent the first bytes of its stream.
     time_point m_firstByte {};
-    time_point m_deadline {};
-    // Keeps the route and the team alive.
-    std::shared_ptr<const indexed_configuration> m_configuration;
-    const relay_route* m_route = nullptr;
-    const relay_team* m_team = nullptr;
-    uint64_t m_fingerprint = 0;
+    admission m_admission;
     std::function<void()> m_onEnd;
 
     // The attempt that is running.
--- a/libs/relay/src/relay_gateway.cpp
+++ b/libs/relay/src/relay_gateway.cpp
@@ -25,7 +25,7 @@
     if (m_refusing) {
         request->reply(statusUnavailable, { { "Content-Type", "application/json" }, { "Retry-After", retryAfterStop } },
             "{\"error\":{\"run\":\"not_run\",\"type\":\"stopping\"}}\n");
-        m_dependencies.metrics.countOutcome("", "stopping");
+        m_dependencies.metrics.countOutcome("", "", "refused", "stopping");
         return;
     }
     const auto exchange = std::make_shared<relay_exchange>(m_dependencies, request);
--- a/libs/relay/src/relay_metrics.cpp
+++ b/libs/relay/src/relay_metrics.cpp
@@ -13,7 +13,7 @@
 relay_metrics::relay_metrics()
     : m_outcomes(prometheus::BuildCounter()
                      .Name("pollen_relay_requests_total")
-                     .Help("Requests by route and outcome")
+                     .Help("Requests by route, team, outcome and reason")
                      .Register(m_registry))
     , m_sends(prometheus::BuildCounter()
                   .Name("pollen_relay_sends_total")
@@ -23,18 +23,40 @@
                     .Name("pollen_relay_first_byte_seconds")
                     .Help("Time to the first byte of an answer")
                     .Register(m_registry))
+    , m_teamLatency(prometheus::BuildHistogram()
+                        .Name("pollen_relay_team_first_byte_seconds")
+                        .Help("Time to the first byte of an answer, by team")
+                        .Register(m_registry))
+    , m_configurationAge(prometheus::BuildGauge()
+                             .Name("pollen_relay_configuration_age_seconds")
+                             .Help("Time since the configuration was last known to be the newest")
+                             .Register(m_registry)
+                             .Add({}))
+    , m_openRequests(prometheus::BuildGauge()
+                         .Name("pollen_relay_open_requests")
+                         .Help("Requests that are not finished")
+                         .Register(m_registry)
+                         .Add({}))
 {
 }
 
-void relay_metrics::countOutcome(const std::string& route, const std::string& outcome)
+void relay_metrics::countOutcome(
+    const std::string& route, const std::string& team, const std::string& outcome, const std::string& reason)
 {
-    m_outcomes.Add({ { "route", route }, { "outcome", outcome } }).Increment();
+    m_outcomes.Add({ { "route", route }, { "team", team }, { "outcome", outcome }, { "reason", reason } }).Increment();
+}
+
+void relay_metrics::setState(duration configurationAge, size_t openRequests)
+{
+    m_configurationAge.Set(toSeconds(configurationAge));
+    m_openRequests.Set(static_cast<double>(openRequests));
 }
 
 void relay_metrics::countSend(const std::string& service) { m_sends.Add({ { "service", service } }).Increment(); }
 
-void relay_metrics::observeFirstByte(const std::string& route, duration latency)
+void relay_metrics::observeFirstByte(const std::string& route, const std::string& team, duration latency)
 {
+    m_teamLatency.Add({ { "team", team } }, latencySeconds).Observe(toSeconds(latency));
     m_latency.Add({ { "route", route } }, latencySeconds).Observe(toSeconds(latency));
 }
 
--- /dev/null
+++ b/libs/relay/src/request_hash.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+#include <xxhash.h>
+
+namespace pollen {
+
+inline uint64_t hashOf(std::string_view text) { return XXH64(text.data(), text.size(), 0); }
+
+// A number from 0 up to 1 that is the same for the same hash in every daemon.
+inline double pointOf(uint64_t hash)
+{
+    return static_cast<double>(hash >> 11) / static_cast<double>(uint64_t { 1 } << 53);
+}
+
+} // namespace pollen
--- /dev/null
+++ b/libs/relay/src/request_target.cpp
@@ -0,0 +1,71 @@
+#include "request_target.h"
+
+#include "request_hash.h"
+
+namespace pollen {
+
+namespace {
+
+void chooseVersion(
+    const relay_dependencies& dependencies, const request_traits& traits, time_point start, placement_request& request)
+{
+    const rollout_row* row = dependencies.rollouts.find(request.service);
+    if (!row)
+        return;
+    const version_name& target = row->order.target;
+    switch (row->state) {
+    case rollout_state::Complete:
+        request.onlyVersion = target;
+        return;
+    case rollout_state::RolledBack:
+        request.notVersion = target;
+        return;
+    case rollout_state::Running:
+        break;
+    }
+    if (row->condemned) {
+        request.notVersion = target;
+        return;
+    }
+    const uint64_t session = sessionKey(traits);
+    const auto last = dependencies.sessions.find(session, start);
+    const double point = pointOf(hashOf({ reinterpret_cast<const char*>(&session), sizeof session }));
+    const bool onTarget = point < row->share || (last && *last == target);
+    (onTarget ? request.onlyVersion : request.notVersion) = target;
+}
+
+} // namespace
+
+uint64_t sessionKey(const request_traits& traits)
+{
+    if (!traits.session.empty())
+        return hashOf(traits.session);
+    if (!traits.parts.empty())
+        return traits.parts.back().id;
+    return hashOf(traits.id.text());
+}
+
+placement_request makePlacementRequest(const relay_dependencies& dependencies, const relay_route& route,
+    const request_traits& traits, size_t model, time_point start)
+{
+    placement_request request;
+    uint32_t total = 0;
+    for (const route_target& target : route.targets)
+        total += target.weight;
+    auto point = static_cast<uint32_t>(pointOf(hashOf(traits.id.text())) * total);
+    for (const route_target& target : route.targets) {
+        request.service = target.service;
+        if (point < target.weight)
+            break;
+        point -= target.weight;
+    }
+    if (traits.anyModel && !route.models.empty())
+        request.model = route.models[model];
+    request.parts = traits.parts;
+    request.promptTokens = traits.promptTokens;
+    request.failureDomain = dependencies.failureDomain;
+    chooseVersion(dependencies, traits, start, request);
+    return request;
+}
+
+} // namespace pollen
--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -240,6 +240,32 @@
     }
 }
 
+TEST_F(RelayPathTest, CountsByRouteTeamAndReason)
+{
+    backend_standin desk(m_loop, { answers(200, "done") });
+    list("i-1", "desk", desk);
+    start();
+    send(request("GET", "/r/x"));
+    send(request("GET", "/nowhere/"));
+    const std::string text = m_relay.renderMetrics();
+    const auto has = [&](const char* line) { return text.find(line) != std::string::npos; };
+    EXPECT_TRUE(has("pollen_relay_requests_total{outcome=\"answered\",reason=\"\",route=\"read\",team=\"team\"} 1"))
+        << text;
+    EXPECT_TRUE(has("pollen_relay_requests_total{outcome=\"refused\",reason=\"unknown_route\",route=\"\",team=\"\"} 1"))
+        << text;
+    EXPECT_TRUE(has("pollen_relay_team_first_byte_seconds_count{team=\"team\"} 1"));
+    EXPECT_TRUE(has("pollen_relay_open_requests 0"));
+}
+
+// Pattern: all daemons have been restarted at once, and callers are at the door before the fleet has been read.
+TEST_F(RelayPathTest, ADaemonThatHasJustStartedAsksItsCallersBackSoon)
+{
+    const auto [result, response] = send(request("GET", "/r/x"));
+    EXPECT_EQ(response.status, 503);
+    EXPECT_NE(response.body.find("not_run"), std::string::npos);
+    EXPECT_LT(std::stod(std::string(findHeader(response.headers, "Retry-After"))), 0.3);
+}
+
 TEST_F(RelayPathTest, ARefusalSaysThatNothingRanAndWhenToReturn)
 {
     backend_standin full(m_loop, { isFull });
