Share one fake store between the relay's tests

Cause: the tests of view sharing and of roll-outs each had a fake of the same port. Change: tests/fake_fleet_store.h; the test of view sharing adds its topic.

--- /dev/null
+++ b/libs/relay/tests/fake_fleet_store.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <relay/fleet_store.h>
+
+namespace pollen {
+
+// Keeps what was published; stores it or not as the test says.
+class fake_fleet_store : public fleet_store {
+public:
+    void publishRollout(const rollout_status& status, publish_callback callback) override
+    {
+        published.push_back(status);
+        if (answers)
+            callback(stores);
+        else
+            waiting = std::move(callback);
+    }
+    void publishReport(const rollout_report& report) override { reports.push_back(report); }
+    void followReports(bool wanted) override { following = wanted; }
+    void setReading(bool itReads) override { reading = itReads; }
+    std::vector<shared_topic*> topics() override { return shared; }
+    std::vector<listed_peer> daemons() const override { return listed; }
+
+    std::vector<rollout_status> published;
+    std::vector<rollout_report> reports;
+    publish_callback waiting;
+    std::vector<shared_topic*> shared;
+    std::vector<listed_peer> listed;
+    bool answers = true;
+    bool stores = true;
+    bool following = false;
+    bool reading = true;
+};
+
+} // namespace pollen
--- a/libs/relay/tests/rollout_test.cpp
+++ b/libs/relay/tests/rollout_test.cpp
@@ -1,3 +1,5 @@
+#include "fake_fleet_store.h"
+
 #include <gtest/gtest.h>
 #include <relay/rollout_system.h>
 
@@ -10,31 +12,6 @@
 const time_point start { std::chrono::seconds(1000) };
 constexpr duration allowed = std::chrono::seconds(20);
 
-// Keeps what was published; stores it or not as the test says.
-class fake_store final : public fleet_store {
-public:
-    void publishRollout(const rollout_status& status, publish_callback callback) override
-    {
-        published.push_back(status);
-        if (answers)
-            callback(stores);
-        else
-            waiting = std::move(callback);
-    }
-    void publishReport(const rollout_report& report) override { reports.push_back(report); }
-    void followReports(bool wanted) override { following = wanted; }
-    void setReading(bool) override { }
-    std::vector<shared_topic*> topics() override { return {}; }
-    std::vector<listed_peer> daemons() const override { return {}; }
-
-    std::vector<rollout_status> published;
-    std::vector<rollout_report> reports;
-    publish_callback waiting;
-    bool answers = true;
-    bool stores = true;
-    bool following = false;
-};
-
 // One daemon and its view of a roll-out.
 struct daemon_view {
     explicit daemon_view(const char* id)
@@ -43,7 +20,7 @@
     }
 
     null_logger log;
-    fake_store store;
+    fake_fleet_store store;
     rollout_table table;
     rollout_system system;
 
--- a/libs/relay/tests/view_sharing_test.cpp
+++ b/libs/relay/tests/view_sharing_test.cpp
@@ -1,3 +1,5 @@
+#include "fake_fleet_store.h"
+
 #include <gtest/gtest.h>
 #include <relay/view_message.h>
 #include <relay/view_sharing.h>
@@ -29,20 +31,13 @@
 
 using contents = std::map<std::string, std::string>;
 
-// A store that holds a view and a list of daemons.
-class fake_store final : public fleet_store {
+// A store with one topic.
+class viewed_store final : public fake_fleet_store {
 public:
-    void publishRollout(const rollout_status&, publish_callback) override { }
-    void publishReport(const rollout_report&) override { }
-    void followReports(bool) override { }
-    void setReading(bool itReads) override { reading = itReads; }
-    std::vector<shared_topic*> topics() override { return { &topic }; }
-    std::vector<listed_peer> daemons() const override { return listed; }
+    viewed_store() { shared = { &topic }; }
 
     recording_listener listener;
     shared_topic topic { listener };
-    std::vector<listed_peer> listed;
-    bool reading = true;
 };
 
 // Hands requests to the daemons of the test, unless they are down or silent.
@@ -89,7 +84,7 @@
 
     null_logger log;
     listed_peer listed;
-    fake_store store;
+    viewed_store store;
     rollout_table table;
     server_table servers;
     rollout_system rollouts;
