Ask less of the store and of each other while the store is away

Beyond the two daemons before it in its failure domain a daemon asks four a second, as when all is well.

--- a/libs/relay/include/relay/view_sharing.h
+++ b/libs/relay/include/relay/view_sharing.h
@@ -79,6 +79,7 @@
     time_point m_askedAt {};
     time_point m_next {};
     size_t m_turn = 0;
+    size_t m_failuresInARow = 0;
     std::shared_ptr<bool> m_alive;
 };
 
--- a/libs/relay/src/view_sharing.cpp
+++ b/libs/relay/src/view_sharing.cpp
@@ -9,9 +9,9 @@
 constexpr duration answerTimeout = std::chrono::milliseconds(250);
 constexpr duration firstPenalty = std::chrono::seconds(2);
 constexpr uint32_t mostDoublings = 4;
-// Daemons before this one that are tried before it reads the store itself.
 // Work of a daemon that has not asked for so long is no longer counted.
 constexpr duration workLifetime = std::chrono::seconds(1);
+// Daemons before this one that are tried before it reads the store itself.
 constexpr size_t mostCandidates = 2;
 
 } // namespace
@@ -134,6 +134,7 @@
         m_rollouts.hearTotal(total, now);
     enterWork(reply.work);
     m_penalties.erase(peer);
+    m_failuresInARow = 0;
     m_asked.reset();
     m_next = asked + askInterval;
     // A daemon that was asked only because the store is out of reach does not take the store's place.
@@ -147,7 +148,8 @@
     entry.until = now + firstPenalty * (1 << std::min(entry.failures, mostDoublings));
     ++entry.failures;
     m_asked.reset();
-    m_next = now;
+    // The daemons of the failure domain are gone through at once; the whole fleet, while the store is away, is not.
+    m_next = ++m_failuresInARow <= mostCandidates ? now : now + askInterval;
     m_log.write(log_level::Info, "view_peer_failed", { { "peer", peer.text() }, { "reason", reason } });
 }
 
--- a/libs/relay/tests/view_sharing_test.cpp
+++ b/libs/relay/tests/view_sharing_test.cpp
@@ -98,10 +98,18 @@
     ViewSharingTest()
     {
         m_time.advance(std::chrono::seconds(1000));
-        uint16_t port = 1;
-        for (const char* id : { "a1", "a2", "a3", "b1", "b2" })
-            m_daemons[id] = std::make_unique<test_daemon>(m_network, m_time, id, std::string(1, id[0]).c_str(), port++);
+        addDaemons({ "a1", "a2", "a3", "b1", "b2" });
+    }
+
+    // The first letter of an id is the failure domain.
+    void addDaemons(const std::vector<std::string>& ids)
+    {
+        for (const std::string& id : ids) {
+            const auto port = static_cast<uint16_t>(m_daemons.size() + 1);
+            m_daemons[id] = std::make_unique<test_daemon>(m_network, m_time, id, id.substr(0, 1).c_str(), port);
+        }
         for (const auto& [id, daemon] : m_daemons) {
+            daemon->store.listed.clear();
             for (const auto& [otherId, other] : m_daemons)
                 daemon->store.listed.push_back(other->listed);
         }
@@ -320,4 +328,22 @@
         EXPECT_GE(age(id.c_str()), std::chrono::seconds(10)) << id;
 }
 
+// Pattern: the store is away for all daemons, and each of them looks for one that knows more.
+TEST_F(ViewSharingTest, NobodyIsFloodedWithQuestionsWhileTheStoreIsAway)
+{
+    std::vector<std::string> more;
+    for (int i = 10; i < 50; ++i)
+        more.push_back("c" + std::to_string(i));
+    addDaemons(more);
+    run(std::chrono::seconds(1));
+    for (const auto& [id, daemon] : m_daemons)
+        daemon->storeWorks = false;
+    run(std::chrono::seconds(3));
+    const int before = m_network.requests;
+    run(std::chrono::seconds(8));
+    // Four a second, as while the store is there.
+    const int usual = 8 * 4 * static_cast<int>(m_daemons.size());
+    EXPECT_LE(m_network.requests - before, usual);
+}
+
 } // namespace pollen
--- a/standins/tests/store_follower_test.cpp
+++ b/standins/tests/store_follower_test.cpp
@@ -40,8 +40,8 @@
     store_client m_client { m_http, m_store.address(), m_log };
     counting_listener m_listener;
     shared_topic m_topic { m_listener };
-    keyed_follower m_follower { m_loop, m_client, "keyed.op", { wait, duration(0), true }, m_topic, m_random, m_time,
-        m_log };
+    keyed_follower m_follower { m_loop, m_client, "keyed.op", { wait, duration(0), true, std::chrono::seconds(1) },
+        m_topic, m_random, m_time, m_log };
 };
 
 } // namespace
@@ -66,6 +66,23 @@
     EXPECT_LT(oldest, wait + callTime);
 }
 
+// Pattern: the store is away, and every follower of every daemon asks for it.
+TEST_F(StoreFollowerTest, OneFollowerFindsOutThatTheStoreIsBackForTheOthers)
+{
+    counting_listener listener;
+    shared_topic topic(listener);
+    keyed_follower beside(m_loop, m_client, "keyed.servers", { wait, duration(0), false, std::chrono::seconds(30) },
+        topic, m_random, m_time, m_log);
+    m_follower.setRegainedCallback([&] { beside.hurry(); });
+    m_store.put("keyed.servers", "i-1", "1");
+    m_store.set("outage", 1);
+    m_follower.setActive(true);
+    beside.setActive(true);
+    runFor(std::chrono::seconds(2));
+    m_store.set("outage", 0);
+    EXPECT_TRUE(m_loop.runUntil([&] { return listener.keys == 1; }, std::chrono::seconds(2)));
+}
+
 TEST_F(StoreFollowerTest, AChangeCostsOneCallMore)
 {
     m_follower.setActive(true);
