--- a/libs/ctl/tests/log_commands_test.cpp
+++ b/libs/ctl/tests/log_commands_test.cpp
@@ -1,6 +1,4 @@
-#include <ctl/command.h>
-#include <gtest/gtest.h>
-#include <sstream>
+#include "command_result.h"
 
 namespace pollen {
 
@@ -18,30 +16,11 @@
 {broken
 )";
 
-struct command_result {
-    ctl_exit code = ctl_exit::Ok;
-    std::string output;
-    std::string problem;
-};
-
 command_result run(const std::string& name, const std::string& log, std::vector<std::string> operands = {})
 {
-    std::istringstream input(log);
-    std::ostringstream out;
     ctl_arguments arguments;
     arguments.operands = std::move(operands);
-    for (const auto& command : makeCommands(input)) {
-        if (command->name() != name)
-            continue;
-        try {
-            command->run(arguments, out);
-            return { ctl_exit::Ok, out.str(), "" };
-        } catch (const ctl_error& problem) {
-            return { problem.code(), out.str(), problem.what() };
-        }
-    }
-    ADD_FAILURE() << "no command " << name;
-    return {};
+    return runCommand(name, arguments, log);
 }
 
 bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
--- a/libs/relay/src/silence_watch.cpp
+++ b/libs/relay/src/silence_watch.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// Engines pause for this long between tokens while they read long prompts.
+// Pauses between events make an answer late from 800 ms on, by the fleets' sheets.
 constexpr duration longestPatience = std::chrono::milliseconds(800);
 constexpr duration shortestPatience = std::chrono::milliseconds(100);
 // Part of the time left after which a call with a short deadline is looked into, so that another try fits.
--- a/standins/tests/operator_commands_test.cpp
+++ b/standins/tests/operator_commands_test.cpp
@@ -1,9 +1,8 @@
+#include "command_result.h"
+
 #include <atomic>
-#include <ctl/command.h>
 #include <fstream>
-#include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
-#include <sstream>
 #include <standins/log_standin.h>
 #include <thread>
 
@@ -64,12 +63,6 @@
     std::thread m_thread;
 };
 
-struct command_result {
-    ctl_exit code = ctl_exit::Ok;
-    std::string output;
-    std::string problem;
-};
-
 class OperatorCommandsTest : public testing::Test {
 protected:
     ctl_arguments arguments(std::vector<std::string> operands)
@@ -82,30 +75,12 @@
         return result;
     }
 
-    static command_result run(const std::string& name, const ctl_arguments& arguments)
-    {
-        std::istringstream noLog;
-        std::ostringstream out;
-        for (const auto& command : makeCommands(noLog)) {
-            if (command->name() != name)
-                continue;
-            try {
-                command->run(arguments, out);
-                return { ctl_exit::Ok, out.str(), "" };
-            } catch (const ctl_error& problem) {
-                return { problem.code(), out.str(), problem.what() };
-            }
-        }
-        ADD_FAILURE() << "no command " << name;
-        return {};
-    }
-
     command_result publish(const std::string& file, std::optional<uint64_t> base, const std::string& reason = "because")
     {
         ctl_arguments given = arguments({ file });
         given.base = base;
         given.reason = reason;
-        return run("publish", given);
+        return runCommand("publish", given);
     }
 
     running_log m_log;
@@ -115,16 +90,16 @@
 
 TEST_F(OperatorCommandsTest, PublishesShowsAndKeepsAHistory)
 {
-    EXPECT_EQ(run("show", arguments({})).code, ctl_exit::Refused);
+    EXPECT_EQ(runCommand("show", arguments({})).code, ctl_exit::Refused);
     EXPECT_EQ(publish(tausi, {}).code, ctl_exit::Ok);
-    const command_result shown = run("show", arguments({}));
+    const command_result shown = runCommand("show", arguments({}));
     EXPECT_TRUE(shown.output.starts_with("# base version: 1\n"));
     const std::string edited = testing::TempDir() + "edited.toml";
     std::ofstream(edited) << shown.output;
-    EXPECT_EQ(run("diff", arguments({ edited })).output, "");
+    EXPECT_EQ(runCommand("diff", arguments({ edited })).output, "");
     EXPECT_EQ(publish(edited, {}).code, ctl_exit::Ok) << "the first line says what it was made from";
     EXPECT_EQ(publish(edited, {}, "another change").code, ctl_exit::Refused) << "that version is no longer in force";
-    EXPECT_NE(run("history", arguments({})).output.find("stale_base"), std::string::npos);
+    EXPECT_NE(runCommand("history", arguments({})).output.find("stale_base"), std::string::npos);
 }
 
 TEST_F(OperatorCommandsTest, OfRacingPublicationsExactlyOneIsAccepted)
@@ -133,7 +108,7 @@
         const uint64_t base = nlohmann::json::parse([&] {
             ctl_arguments given = arguments({});
             given.json = true;
-            const command_result shown = run("show", given);
+            const command_result shown = runCommand("show", given);
             return shown.output.empty() ? std::string(R"({"version":0})") : shown.output;
         }())["version"];
         std::vector<command_result> results(4);
@@ -157,14 +132,14 @@
     m_log.set("lose_answers", 1);
     EXPECT_EQ(publish(tausi, 0).code, ctl_exit::Ok);
     EXPECT_EQ(publish(tausi, 0).code, ctl_exit::Ok) << "the same command again is harmless";
-    EXPECT_TRUE(run("show", arguments({})).output.starts_with("# base version: 1\n"));
+    EXPECT_TRUE(runCommand("show", arguments({})).output.starts_with("# base version: 1\n"));
 }
 
 TEST_F(OperatorCommandsTest, AnOutageIsSaidToBeOne)
 {
     m_log.set("outage", 1);
     EXPECT_EQ(publish(tausi, 0).code, ctl_exit::Unreachable);
-    EXPECT_EQ(run("show", arguments({})).code, ctl_exit::Unreachable);
+    EXPECT_EQ(runCommand("show", arguments({})).code, ctl_exit::Unreachable);
     m_log.set("outage", 0);
     EXPECT_EQ(publish(tausi, 0).code, ctl_exit::Ok);
 }
@@ -172,39 +147,39 @@
 TEST_F(OperatorCommandsTest, WithdrawnStaysWithdrawn)
 {
     publish(tausi, 0);
-    EXPECT_EQ(run("withdraw", arguments({ "clerk/v2" })).code, ctl_exit::Ok);
-    EXPECT_NE(run("withdraw", arguments({ "clerk/v2" })).output.find("already"), std::string::npos);
+    EXPECT_EQ(runCommand("withdraw", arguments({ "clerk/v2" })).code, ctl_exit::Ok);
+    EXPECT_NE(runCommand("withdraw", arguments({ "clerk/v2" })).output.find("already"), std::string::npos);
     EXPECT_NE(publish(tausi, 2).problem.find("reinstates_withdrawn"), std::string::npos);
     ctl_arguments rollout = arguments({ "clerk/v2" });
     rollout.sharePercent = 50;
-    EXPECT_EQ(run("rollout", rollout).code, ctl_exit::Refused);
+    EXPECT_EQ(runCommand("rollout", rollout).code, ctl_exit::Refused);
     ctl_arguments reinstating = arguments({ tausi });
     reinstating.base = 2;
     reinstating.reinstate = { parseVersionRef("clerk/v2") };
-    EXPECT_EQ(run("publish", reinstating).code, ctl_exit::Ok);
-    EXPECT_EQ(run("rollout", rollout).code, ctl_exit::Ok);
-    EXPECT_NE(run("show", arguments({})).output.find("rollout_share = 0.5"), std::string::npos);
+    EXPECT_EQ(runCommand("publish", reinstating).code, ctl_exit::Ok);
+    EXPECT_EQ(runCommand("rollout", rollout).code, ctl_exit::Ok);
+    EXPECT_NE(runCommand("show", arguments({})).output.find("rollout_share = 0.5"), std::string::npos);
 }
 
 TEST_F(OperatorCommandsTest, WrongUseIsToldApart)
 {
     const std::string broken = testing::TempDir() + "broken.toml";
     std::ofstream(broken) << "[fleet]\nname = \"x\"\n";
-    EXPECT_EQ(run("check", arguments({ broken })).code, ctl_exit::BadInput);
-    EXPECT_NE(run("check", arguments({ broken })).problem.find("broken.toml:1: fleet.currency: missing_key"),
+    EXPECT_EQ(runCommand("check", arguments({ broken })).code, ctl_exit::BadInput);
+    EXPECT_NE(runCommand("check", arguments({ broken })).problem.find("broken.toml:1: fleet.currency: missing_key"),
         std::string::npos);
-    EXPECT_EQ(run("check", arguments({ "/no/such/file" })).code, ctl_exit::BadInput);
+    EXPECT_EQ(runCommand("check", arguments({ "/no/such/file" })).code, ctl_exit::BadInput);
     EXPECT_EQ(publish(broken, 0).code, ctl_exit::BadInput);
     EXPECT_EQ(publish(tausi, 0, " ").code, ctl_exit::Usage);
-    EXPECT_EQ(run("withdraw", arguments({ "clerk" })).code, ctl_exit::Usage);
-    EXPECT_EQ(run("withdraw", arguments({ "none/v1" })).code, ctl_exit::Refused);
-    EXPECT_EQ(run("rollout", arguments({ "clerk/v2" })).code, ctl_exit::Usage);
-    EXPECT_EQ(run("status", arguments({})).code, ctl_exit::Usage);
+    EXPECT_EQ(runCommand("withdraw", arguments({ "clerk" })).code, ctl_exit::Usage);
+    EXPECT_EQ(runCommand("withdraw", arguments({ "none/v1" })).code, ctl_exit::Refused);
+    EXPECT_EQ(runCommand("rollout", arguments({ "clerk/v2" })).code, ctl_exit::Usage);
+    EXPECT_EQ(runCommand("status", arguments({})).code, ctl_exit::Usage);
     publish(tausi, 0);
     EXPECT_EQ(publish(tausi, {}, "no base").code, ctl_exit::Usage);
     ctl_arguments noLog = arguments({});
     noLog.log.reset();
-    EXPECT_EQ(run("show", noLog).code, ctl_exit::Usage);
+    EXPECT_EQ(runCommand("show", noLog).code, ctl_exit::Usage);
 }
 
 } // namespace pollen
