Show repeats by service and servers that end under a request

The incident's hypotheses could not be told apart: crash_watch wrote no line, no metric said how many repeats a service got or that a share was spent, and the line of a request did not say why it was not sent again. Added, without a change of logic: the event server_ended with the request's fingerprint and the count so far, the fields fingerprint and obstacle in request_ended, and the counters pollen_relay_repeats_total and pollen_relay_server_ends_total.

--- a/libs/relay/include/relay/crash_watch.h
+++ b/libs/relay/include/relay/crash_watch.h
@@ -11,6 +11,9 @@
     // The connection of a server that ran the request broke, and nothing listened there any more or it was reset.
     void countBreak(uint64_t fingerprint, time_point now);
 
+    // Breaks counted for the request.
+    uint32_t breaks(uint64_t fingerprint) const;
+
     // The request has broken so many servers that it is not sent to another one.
     bool isSuspect(uint64_t fingerprint, time_point now) const;
 
--- a/libs/relay/include/relay/relay_metrics.h
+++ b/libs/relay/include/relay/relay_metrics.h
@@ -20,6 +20,11 @@
     void countOutcome(
         const std::string& route, const std::string& team, const std::string& outcome, const std::string& reason);
     void countSend(const std::string& service);
+    // A request was to be sent once more after it had arrived at a server. outcome: "sent", or "denied" where the share
+    // of repeats is spent.
+    void countRepeat(const std::string& service, const std::string& outcome);
+    // A server ended, or seems to have ended, while it ran a request. sign: what showed it.
+    void countServerEnd(const std::string& service, const std::string& sign);
     void observeFirstByte(const std::string& route, const std::string& team, duration latency);
     // State at the time of asking. configurationAge: since the configuration was last known to be the newest.
     void setState(duration configurationAge, size_t openRequests);
@@ -31,6 +36,8 @@
     prometheus::Registry m_registry;
     prometheus::Family<prometheus::Counter>& m_outcomes;
     prometheus::Family<prometheus::Counter>& m_sends;
+    prometheus::Family<prometheus::Counter>& m_repeats;
+    prometheus::Family<prometheus::Counter>& m_serverEnds;
     prometheus::Family<prometheus::Histogram>& m_latency;
     prometheus::Family<prometheus::Histogram>& m_teamLatency;
     prometheus::Gauge& m_configurationAge;
--- a/libs/relay/src/crash_watch.cpp
+++ b/libs/relay/src/crash_watch.cpp
@@ -17,6 +17,12 @@
     known.last = now;
 }
 
+uint32_t crash_watch::breaks(uint64_t fingerprint) const
+{
+    const auto found = m_entries.find(fingerprint);
+    return found == m_entries.end() ? 0 : found->second.breaks;
+}
+
 bool crash_watch::isSuspect(uint64_t fingerprint, time_point now) const
 {
     const auto found = m_entries.find(fingerprint);
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -1,5 +1,6 @@
 #include "relay_exchange.h"
 
+#include "request_hash.h"
 #include "request_target.h"
 
 #include <algorithm>
@@ -230,7 +231,7 @@
     const duration answering = m_dependencies.largestPace.expect(placement.service, expectedTokens());
     const bool worthIt = choice && choice->wait + answering < timeLeft()
         && m_dependencies.escalation.isWorthAsking(*m_answer.confidence, choice->wait, left);
-    if (!worthIt || !m_dependencies.retries.take()) {
+    if (!worthIt || !takeRepeat()) {
         m_model = model;
         return false;
     }
@@ -376,8 +377,10 @@
         m_run = run_knowledge::MayHaveRun;
         m_runs += result.responseStarted ? 0 : 1;
         countAnswer(false);
-        if (result.refused)
+        if (result.refused) {
             m_dependencies.crashes.countBreak(m_admission.fingerprint, now);
+            noteServerEnd("connection_lost");
+        }
     }
     if (timedOut) {
         countPace();
@@ -397,6 +400,7 @@
     m_body.clear();
     m_run = run_knowledge::MayHaveRun;
     m_runs += m_status == 0 ? 1 : 0;
+    noteServerEnd("unreachable");
     tryAgain("server_unreachable", true);
 }
 
@@ -405,11 +409,18 @@
 {
     noteAttemptEnd(reason);
     m_lastReason = reason;
-    const bool allowed = m_run == run_knowledge::NotRun || m_admission.route->mayRepeat();
-    const bool suspect = m_dependencies.crashes.isSuspect(m_admission.fingerprint, m_dependencies.time.now());
+    if (m_run != run_knowledge::NotRun && !m_admission.route->mayRepeat())
+        m_obstacle = "may_have_run";
+    else if (m_dependencies.crashes.isSuspect(m_admission.fingerprint, m_dependencies.time.now()))
+        m_obstacle = "request_breaks_servers";
+    else if (!mayTryAgain())
+        m_obstacle = "no_attempt_left";
     // What has not reached a server is no repeat.
-    const bool mayRepeat = allowed && !suspect && mayTryAgain() && (!arrived || m_dependencies.retries.take());
-    if (!mayRepeat) {
+    else if (arrived && !takeRepeat())
+        m_obstacle = "repeats_spent";
+    else
+        m_obstacle = "";
+    if (*m_obstacle) {
         giveUp(reason);
         return;
     }
@@ -417,6 +428,25 @@
         attempt();
 }
 
+bool relay_exchange::takeRepeat()
+{
+    const bool taken = m_dependencies.retries.take();
+    m_dependencies.metrics.countRepeat(m_service.text(), taken ? "sent" : "denied");
+    return taken;
+}
+
+void relay_exchange::noteServerEnd(const char* sign)
+{
+    m_dependencies.metrics.countServerEnd(m_service.text(), sign);
+    if (!m_dependencies.failureLogBudget.take(m_dependencies.time.now()))
+        return;
+    m_dependencies.log.write(log_level::Warning, "server_ended",
+        { { "request", m_traits.id.text() }, { "fingerprint", fingerprintText(m_admission.fingerprint) },
+            { "server", m_serverId.text() }, { "service", m_service.text() }, { "sign", sign },
+            { "ran_ms", toMilliseconds(m_dependencies.time.now() - m_sent) },
+            { "ends", static_cast<int64_t>(m_dependencies.crashes.breaks(m_admission.fingerprint)) } });
+}
+
 void relay_exchange::giveUp(const char* reason)
 {
     if (fallBack())
@@ -489,8 +519,10 @@
             { { "request", m_traits.id.text() }, { "route", m_admission.route ? m_admission.route->name : "" },
                 { "outcome", outcome }, { "reason", m_lastReason }, { "status", m_status },
                 { "server", m_serverId.text() }, { "attempts", static_cast<int64_t>(m_attempts) },
-                { "history", m_history.text() }, { "team", teamName() }, { "session", m_traits.session },
-                { "parts", static_cast<int64_t>(m_traits.parts.size()) }, { "ms", toMilliseconds(now - m_start) },
+                { "history", m_history.text() }, { "obstacle", m_obstacle },
+                { "fingerprint", fingerprintText(m_admission.fingerprint) }, { "team", teamName() },
+                { "session", m_traits.session }, { "parts", static_cast<int64_t>(m_traits.parts.size()) },
+                { "ms", toMilliseconds(now - m_start) },
                 { "configuration",
                     m_admission.configuration ? m_admission.configuration->configuration().version : 0 } });
     }
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -59,6 +59,10 @@
     void finishAnswer();
     void onBroken(const exchange_result& result);
     void countAnswer(bool good);
+    // Takes one repeat out of the daemon's share.
+    bool takeRepeat();
+    // The server ended, or seems to have ended, while it ran the request. sign: what showed it.
+    void noteServerEnd(const char* sign);
 
     // Ends the request with an answer of the router's own.
     void refuse(int status, const char* type, std::optional<duration> retryAfter = {});
@@ -110,6 +114,8 @@
     bool m_streamStarted = false;
     bool m_paused = false;
     const char* m_lastReason = "";
+    // Why the request was not sent again after its last attempt.
+    const char* m_obstacle = "";
     attempt_history m_history;
     silence_watch m_silence;
 };
--- a/libs/relay/src/relay_metrics.cpp
+++ b/libs/relay/src/relay_metrics.cpp
@@ -19,6 +19,14 @@
                   .Name("pollen_relay_sends_total")
                   .Help("Requests sent to servers, repeats included")
                   .Register(m_registry))
+    , m_repeats(prometheus::BuildCounter()
+                    .Name("pollen_relay_repeats_total")
+                    .Help("Requests to be sent once more after they had arrived at a server")
+                    .Register(m_registry))
+    , m_serverEnds(prometheus::BuildCounter()
+                       .Name("pollen_relay_server_ends_total")
+                       .Help("Servers that ended, or seem to have ended, while they ran a request")
+                       .Register(m_registry))
     , m_latency(prometheus::BuildHistogram()
                     .Name("pollen_relay_first_byte_seconds")
                     .Help("Time to the first byte of an answer")
@@ -54,6 +62,16 @@
 
 void relay_metrics::countSend(const std::string& service) { m_sends.Add({ { "service", service } }).Increment(); }
 
+void relay_metrics::countRepeat(const std::string& service, const std::string& outcome)
+{
+    m_repeats.Add({ { "service", service }, { "outcome", outcome } }).Increment();
+}
+
+void relay_metrics::countServerEnd(const std::string& service, const std::string& sign)
+{
+    m_serverEnds.Add({ { "service", service }, { "sign", sign } }).Increment();
+}
+
 void relay_metrics::observeFirstByte(const std::string& route, const std::string& team, duration latency)
 {
     m_teamLatency.Add({ { "team", team } }, latencySeconds).Observe(toSeconds(latency));
