--- a/build.sh
+++ b/build.sh
@@ -52,6 +52,16 @@
     sources | grep '\.cpp$' | xargs -P "$(nproc)" -n 4 clang-tidy --quiet -p "$build_dir" 2>/dev/null
 }
 
+# Every test; those that KNOWN-RED.txt names on lines "ctest: NAME" run too, but only their result is printed.
+run_tests() {
+    local red
+    red=$(sed -n 's/^ *ctest: *//p' KNOWN-RED.txt | paste -sd'|')
+    ctest --test-dir "$build_dir" --output-on-failure -j "$(nproc)" ${red:+-E "^($red)\$"}
+    [ -n "$red" ] || return 0
+    echo "known red (KNOWN-RED.txt), not counted:"
+    ctest --test-dir "$build_dir" -R "^($red)\$" 2> /dev/null | grep -E '^ *[0-9]+/[0-9]+ Test' || true
+}
+
 # One daemon and a stand-in for its engine, until interrupted. With an engine of your own at 127.0.0.1:9001 the stand-in
 # is not started.
 run_single() {
@@ -65,7 +75,7 @@
 
 case "${1:-build}" in
     build) build ;;
-    test) build; ctest --test-dir "$build_dir" --output-on-failure -j "$(nproc)" ;;
+    test) build; run_tests ;;
     demo) build; demo/run.sh "$build_dir" ;;
     bench)
         build
