Keep the repeats of all daemons within the fleet's bound, by service

Callers saw nothing; a service whose servers turn everything away got more repeats than the fleet may send (BUDGET).

Cause: a bound for the fleet was kept by each daemon for itself. Each saved up 8 repeats, 72 over nine daemons (576 over 72) where the slack is 58 (184); one budget served all services, so that requests to the engines paid for repeats to the order service; and asking the smallest model again after the largest had failed was not counted at all.

Change: repeat_allowance divides the slack by the number of daemons that have announced themselves, keeps half of it back for restarts, and counts by service; falling back takes a repeat like any other.

The fixture of the path tests now waits three ticks after the start, until the daemon knows how many daemons there are; what the tests expect is unchanged.

--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -13,10 +13,6 @@
 constexpr duration storeAgeMargin = std::chrono::milliseconds(1000);
 // The platform's settings hold no secret that only daemons know; the tag of a frame only shows that it is whole.
 constexpr const char* peerSecret = "pollenroute";
-// Repeats that one daemon may save up.
-constexpr double retryReserve = 8;
-// Part of the fleet's share of repeats that a daemon uses of its own requests.
-constexpr double retryShareOfBound = 0.9;
 constexpr double logLinesPerSecond = 10;
 constexpr double failureLogLinesPerSecond = 50;
 
@@ -50,11 +46,11 @@
           m_rolloutSystem, m_exchange, time, log)
     , m_sessions(settings.sessionIdle)
     , m_servers(m_random)
-    , m_retries(settings.retryShare * retryShareOfBound, retryReserve)
+    , m_repeats({ settings.retryShare, settings.retrySlack })
     , m_logBudget(logLinesPerSecond)
     , m_failureLogBudget(failureLogLinesPerSecond)
     , m_shared { loop, time, m_random, log, m_client, m_probe, m_protocol, settings.failureDomain, m_state, m_rollouts,
-        m_rolloutSystem, m_sessions, m_servers, m_crashes, m_escalation, m_largestPace, m_retries, m_metrics,
+        m_rolloutSystem, m_sessions, m_servers, m_crashes, m_escalation, m_largestPace, m_repeats, m_metrics,
         m_logBudget, m_failureLogBudget, m_usualLatency }
     , m_gateway(m_shared)
 {
@@ -65,6 +61,7 @@
     m_sharing.tick(now);
     m_rolloutSystem.tick(now);
     m_gateway.tick(now);
+    m_repeats.setDaemons(m_store.daemonCount());
     if (now < m_nextSweep)
         return;
     m_nextSweep = now + sweepInterval;
--- a/apps/pollenrouted/platform_relay.h
+++ b/apps/pollenrouted/platform_relay.h
@@ -47,7 +47,7 @@
     crash_watch m_crashes;
     escalation_control m_escalation;
     answer_pace m_largestPace;
-    retry_budget m_retries;
+    repeat_allowance m_repeats;
     relay_metrics m_metrics;
     log_budget m_logBudget;
     log_budget m_failureLogBudget;
--- a/libs/policy/include/policy/retry_budget.h
+++ b/libs/policy/include/policy/retry_budget.h
@@ -7,7 +7,7 @@
 // Bounds retries to a share of the requests, so that retries cannot amplify an overload.
 class retry_budget {
 public:
-    // share: retries allowed for each request. reserve: retries that may be saved up.
+    // share: retries allowed for each request. reserve: retries that may be saved up; all of them at the start.
     retry_budget(double share, double reserve)
         : m_share(share)
         , m_reserve(reserve)
@@ -15,6 +15,13 @@
     {
     }
 
+    // What has been saved up beyond the new reserve is lost.
+    void setReserve(double reserve)
+    {
+        m_reserve = reserve;
+        m_saved = std::min(m_saved, reserve);
+    }
+
     void onRequest() { m_saved = std::min(m_reserve, m_saved + m_share); }
 
     // Takes one retry out of the budget; false when it is spent.
--- a/libs/relay/include/relay/fleet_store.h
+++ b/libs/relay/include/relay/fleet_store.h
@@ -31,6 +31,7 @@
 
     // The daemons that have announced themselves, this one included; some may have gone.
     virtual std::vector<listed_peer> daemons() const = 0;
+    virtual size_t daemonCount() const = 0;
 };
 
 } // namespace pollen
--- a/libs/relay/include/relay/relay_dependencies.h
+++ b/libs/relay/include/relay/relay_dependencies.h
@@ -5,7 +5,6 @@
 #include <http/connection_probe.h>
 #include <http/http_client.h>
 #include <map>
-#include <policy/retry_budget.h>
 #include <relay/answer_pace.h>
 #include <relay/crash_watch.h>
 #include <relay/escalation_control.h>
@@ -14,6 +13,7 @@
 #include <relay/relay_metrics.h>
 #include <relay/relay_protocol.h>
 #include <relay/relay_state.h>
+#include <relay/repeat_allowance.h>
 #include <relay/rollout_system.h>
 #include <relay/session_versions.h>
 
@@ -37,7 +37,7 @@
     crash_watch& crashes;
     escalation_control& escalation;
     answer_pace& largestPace;
-    retry_budget& retries;
+    repeat_allowance& repeats;
     relay_metrics& metrics;
     log_budget& logBudget;
     log_budget& failureLogBudget;
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -57,7 +57,6 @@
         refuse(m_admission.refused->status, m_admission.refused->type, m_admission.refused->retryAfter);
         return;
     }
-    m_dependencies.retries.onRequest();
     m_request->setHangUpCallback([self = shared_from_this()] { self->onCallerGone(); });
     attempt();
 }
@@ -105,6 +104,8 @@
         giveUp("no_such_service");
         return;
     }
+    if (!std::exchange(m_countedForRepeats, true))
+        m_dependencies.repeats.onRequest(placement.service);
     server_table& servers = m_dependencies.state.servers();
     auto choice = m_dependencies.servers.choose(placement, servers, *service, now);
     if (!choice && !placement.onlyVersion.empty()) {
@@ -231,7 +232,7 @@
     const duration answering = m_dependencies.largestPace.expect(placement.service, expectedTokens());
     const bool worthIt = choice && choice->wait + answering < timeLeft()
         && m_dependencies.escalation.isWorthAsking(*m_answer.confidence, choice->wait, left);
-    if (!worthIt || !takeRepeat()) {
+    if (!worthIt || !takeRepeat(placement.service)) {
         m_model = model;
         return false;
     }
@@ -253,17 +254,19 @@
     send(choice, placement);
 }
 
-// Asks the smallest model again when the largest could not answer. False when that is not possible.
-bool relay_exchange::fallBack()
+// The smallest model may be asked again when the largest could not answer.
+bool relay_exchange::canFallBack() const
+{
+    return m_model > 0 && !m_anyAnswer && !m_streamStarted && m_admission.route->mayRepeat() && mayTryAgain();
+}
+
+void relay_exchange::fallBack()
 {
-    if (m_model == 0 || m_anyAnswer || m_streamStarted || !m_admission.route->mayRepeat() || !mayTryAgain())
-        return false;
     m_anyAnswer = true;
     m_model = 0;
     m_tried.clear();
     m_lastReason = "fell_back";
     attempt();
-    return true;
 }
 
 void relay_exchange::onData(std::string_view bytes)
@@ -416,7 +419,7 @@
     else if (!mayTryAgain())
         m_obstacle = "no_attempt_left";
     // What has not reached a server is no repeat.
-    else if (arrived && !takeRepeat())
+    else if (arrived && !takeRepeat(m_service))
         m_obstacle = "repeats_spent";
     else
         m_obstacle = "";
@@ -424,14 +427,16 @@
         giveUp(reason);
         return;
     }
-    if (m_attempts < attemptsBeforeFallBack || !fallBack())
+    if (m_attempts < attemptsBeforeFallBack || !canFallBack())
         attempt();
+    else
+        fallBack();
 }
 
-bool relay_exchange::takeRepeat()
+bool relay_exchange::takeRepeat(const service_name& service)
 {
-    const bool taken = m_dependencies.retries.take();
-    m_dependencies.metrics.countRepeat(m_service.text(), taken ? "sent" : "denied");
+    const bool taken = m_dependencies.repeats.take(service);
+    m_dependencies.metrics.countRepeat(service.text(), taken ? "sent" : "denied");
     return taken;
 }
 
@@ -449,8 +454,10 @@
 
 void relay_exchange::giveUp(const char* reason)
 {
-    if (fallBack())
+    if (canFallBack() && takeRepeat(m_service)) {
+        fallBack();
         return;
+    }
     m_lastReason = reason;
     if (m_streamStarted) {
         m_request->abort();
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -52,7 +52,8 @@
     bool mayTryAgain() const;
     bool tryEscalation();
     void escalate(const placement_choice& choice, const placement_request& placement);
-    bool fallBack();
+    bool canFallBack() const;
+    void fallBack();
     // arrived: the attempt reached a server.
     void tryAgain(const char* reason, bool arrived);
     void passEvents(const std::string& events);
@@ -60,7 +61,7 @@
     void onBroken(const exchange_result& result);
     void countAnswer(bool good);
     // Takes one repeat out of the daemon's share.
-    bool takeRepeat();
+    bool takeRepeat(const service_name& service);
     // The server ended, or seems to have ended, while it ran the request. sign: what showed it.
     void noteServerEnd(const char* sign);
 
@@ -105,6 +106,8 @@
     uint32_t m_attempts = 0;
     // Attempts that have or may have run; only these count against what the route allows.
     uint32_t m_runs = 0;
+    // The request has earned its share of repeats.
+    bool m_countedForRepeats = false;
     // A larger model was asked in vain; what the smallest one answers is passed on.
     bool m_anyAnswer = false;
     run_knowledge m_run = run_knowledge::NotRun;
--- a/libs/relay/tests/fake_fleet_store.h
+++ b/libs/relay/tests/fake_fleet_store.h
@@ -20,6 +20,7 @@
     void setReading(bool itReads) override { reading = itReads; }
     std::vector<shared_topic*> topics() override { return shared; }
     std::vector<listed_peer> daemons() const override { return listed; }
+    size_t daemonCount() const override { return listed.size(); }
 
     std::vector<rollout_status> published;
     std::vector<rollout_report> reports;
--- a/standins/tests/fleet_repeats_test.cpp
+++ b/standins/tests/fleet_repeats_test.cpp
@@ -4,9 +4,6 @@
 
 namespace {
 
-// The fleet's allowance for repeats, as the users' sheet for rkwt-lahore gives it.
-constexpr double repeatShare = 0.9;
-constexpr double repeatSlack = 58;
 constexpr size_t daemonsOfTheFleet = 9;
 
 } // namespace
--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -6,13 +6,17 @@
 
 class RelayPathTest : public testing::Test {
 protected:
-    void SetUp() override { m_ticker.startRepeating(std::chrono::milliseconds(10)); }
+    static constexpr duration tickInterval = std::chrono::milliseconds(10);
+
+    void SetUp() override { m_ticker.startRepeating(tickInterval); }
 
     void start(int version = 1)
     {
         m_store.put("keyed.op", "config", configuration(version));
         m_relay.start();
         EXPECT_TRUE(m_loop.runUntil([&] { return m_relay.gateway().ready(); }, patience));
+        // It reads the list of daemons, by which repeats are divided, at the same time; a tick takes it over.
+        m_loop.runUntil([] { return false; }, 3 * tickInterval);
     }
 
     void list(const char* id, const char* service, const backend_standin& backend, const char* state = "ready",
@@ -55,7 +59,7 @@
     store_standin m_store { m_loop, { "127.0.0.1", 0 } };
     node_settings m_settings { instance_id("d1"), failure_domain_name("a"), { "127.0.0.1", 0 }, { "127.0.0.1", 0 },
         m_store.address(), { "127.0.0.1", 0 }, std::chrono::seconds(2), std::chrono::milliseconds(300),
-        std::chrono::seconds(8), std::chrono::milliseconds(1500), std::chrono::seconds(5), 0.9 };
+        std::chrono::seconds(8), std::chrono::milliseconds(1500), std::chrono::seconds(5), repeatShare, repeatSlack };
     platform_relay m_relay { m_loop, m_settings, m_log, m_time };
     http_server m_front { m_loop, { "127.0.0.1", 0 }, {},
         [this](const std::shared_ptr<server_request>& message) { m_relay.gateway().handle(message); } };
@@ -208,6 +212,24 @@
     EXPECT_EQ(engine.header(1, "Pollenroute-Model"), "large");
 }
 
+// Guards against BUDGET: where no repeat was left, the smallest model was asked once more after the largest had failed.
+TEST_F(RelayPathTest, AskingTheSmallestModelAgainIsARepeat)
+{
+    const http_headers doubts { { "Pollenroute-Confidence", "20" } };
+    size_t turns = 0;
+    // Each request is doubted once, and turned away from then on.
+    backend_standin engine(m_loop, { [&](const std::shared_ptr<server_request>& request) {
+        const bool smallest = findHeader(request->request().headers, "Pollenroute-Model") == "small";
+        (smallest && turns++ % 2 == 0 ? streams(2, true, doubts) : isFull)(request);
+    } });
+    list("i-1", "advice", engine);
+    start();
+    constexpr size_t requests = 600;
+    for (size_t i = 0; i < requests; ++i)
+        send(request("POST", "/s/x", { { "Pollenroute-Model", "*" } }));
+    EXPECT_LE(static_cast<double>(engine.requests().size() - requests), repeatShare * requests + repeatSlack);
+}
+
 // Pattern: a server is cut off or loses power while it runs requests; its connections stay open and nothing arrives.
 TEST_F(RelayPathTest, WhatRunsOnAServerThatCannotBeReachedGoesElsewhere)
 {
