Allow repeats by the requests of the last seconds instead of saving them up

Cause: what may be saved up was the daemon's part of the slack, however many requests it had. The fleet's bound holds for a window, so that what the requests of that window earn may be used in it at any time.

Change: within half a window a daemon repeats a share of its own requests and its part of the slack; the slack counts for two halves and a restart.

--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -46,7 +46,7 @@
           m_rolloutSystem, m_exchange, time, log)
     , m_sessions(settings.sessionIdle)
     , m_servers(m_random)
-    , m_repeats({ settings.retryShare, settings.retrySlack })
+    , m_repeats({ settings.retryShare, settings.retrySlack, settings.retryWindow })
     , m_logBudget(logLinesPerSecond)
     , m_failureLogBudget(failureLogLinesPerSecond)
     , m_shared { loop, time, m_random, log, m_client, m_probe, m_protocol, settings.failureDomain, m_state, m_rollouts,
--- a/libs/policy/include/policy/retry_budget.h
+++ b/libs/policy/include/policy/retry_budget.h
@@ -15,13 +15,6 @@
     {
     }
 
-    // What has been saved up beyond the new reserve is lost.
-    void setReserve(double reserve)
-    {
-        m_reserve = reserve;
-        m_saved = std::min(m_saved, reserve);
-    }
-
     void onRequest() { m_saved = std::min(m_reserve, m_saved + m_share); }
 
     // Takes one retry out of the budget; false when it is spent.
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -105,7 +105,7 @@
         return;
     }
     if (!std::exchange(m_countedForRepeats, true))
-        m_dependencies.repeats.onRequest(placement.service);
+        m_dependencies.repeats.onRequest(placement.service, now);
     server_table& servers = m_dependencies.state.servers();
     auto choice = m_dependencies.servers.choose(placement, servers, *service, now);
     if (!choice && !placement.onlyVersion.empty()) {
@@ -435,7 +435,7 @@
 
 bool relay_exchange::takeRepeat(const service_name& service)
 {
-    const bool taken = m_dependencies.repeats.take(service);
+    const bool taken = m_dependencies.repeats.take(service, m_dependencies.time.now());
     m_dependencies.metrics.countRepeat(service.text(), taken ? "sent" : "denied");
     return taken;
 }
--- a/libs/relay/src/repeat_allowance.cpp
+++ b/libs/relay/src/repeat_allowance.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <relay/repeat_allowance.h>
 
 namespace pollen {
@@ -6,40 +7,54 @@
 
 // Part of the fleet's bound that the daemons use, for requests that the platform counts in another window.
 constexpr double partOfBound = 0.9;
-// With less, no repeat could ever be saved up.
-constexpr double smallestReserve = 1;
-// A daemon starts with all that it may save up. A restart within the window adds as much again, so that only this part
-// of the slack may be saved up.
-constexpr double partBesideRestart = 0.5;
+// A window holds two halves with a slack each, and a restart forgets what was taken before it.
+constexpr double slacksInWindow = 3;
+// With less, a daemon with little traffic could never repeat anything.
+constexpr double smallestSlack = 1;
+constexpr int halves = 2;
 
 } // namespace
 
-void repeat_allowance::setDaemons(size_t count)
+int64_t repeat_allowance::slotNumber(time_point now) const
 {
-    if (m_daemons == count)
-        return;
-    // What may be saved up is not known before; every service then starts with it.
-    if (m_daemons == 0)
-        m_budgets.clear();
-    m_daemons = count;
-    for (auto& [service, budget] : m_budgets)
-        budget.setReserve(reserve());
+    return now.time_since_epoch() / (m_bound.window / halves / static_cast<int>(slotsOfHistory));
 }
 
-void repeat_allowance::onRequest(const service_name& service) { budget(service).onRequest(); }
+repeat_allowance::slot& repeat_allowance::currentSlot(const service_name& service, time_point now)
+{
+    const int64_t number = slotNumber(now);
+    slot& current = m_histories[service][static_cast<size_t>(number) % slotsOfHistory];
+    if (current.number != number)
+        current = { number, 0, 0 };
+    return current;
+}
 
-bool repeat_allowance::take(const service_name& service) { return budget(service).take(); }
+void repeat_allowance::onRequest(const service_name& service, time_point now) { ++currentSlot(service, now).requests; }
 
-double repeat_allowance::reserve() const
+bool repeat_allowance::take(const service_name& service, time_point now)
 {
-    if (m_daemons == 0)
-        return smallestReserve;
-    return std::max(smallestReserve, m_bound.slack * partOfBound * partBesideRestart / static_cast<double>(m_daemons));
+    slot& current = currentSlot(service, now);
+    const int64_t oldest = current.number - static_cast<int64_t>(slotsOfHistory) + 1;
+    uint32_t requests = 0;
+    uint32_t repeats = 0;
+    for (const slot& past : m_histories[service]) {
+        if (past.number < oldest)
+            continue;
+        requests += past.requests;
+        repeats += past.repeats;
+    }
+    if (repeats + 1 > m_bound.share * partOfBound * requests + ownSlack())
+        return false;
+    ++current.repeats;
+    return true;
 }
 
-retry_budget& repeat_allowance::budget(const service_name& service)
+double repeat_allowance::ownSlack() const
 {
-    return m_budgets.try_emplace(service, m_bound.share * partOfBound, reserve()).first->second;
+    if (m_daemons == 0)
+        return smallestSlack;
+    const double part = m_bound.slack * partOfBound / slacksInWindow / static_cast<double>(m_daemons);
+    return std::max(smallestSlack, part);
 }
 
 } // namespace pollen
--- a/libs/relay/tests/repeat_allowance_test.cpp
+++ b/libs/relay/tests/repeat_allowance_test.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+const time_point start { std::chrono::seconds(1000) };
 const service_name desk("desk");
 const service_name engines("engines");
 
@@ -80,14 +81,15 @@
         sliding_window window(windowSeconds);
         size_t nextRestart = 0;
         for (int second = 0; second < seconds; ++second) {
+            const time_point now = start + std::chrono::seconds(second);
             int repeats = 0;
             for (int i = 0; i < given.engineRequestsPerSecond; ++i)
-                fleet[any(random)].onRequest(engines);
+                fleet[any(random)].onRequest(engines, now);
             for (int i = 0; i < given.deskRequestsPerSecond; ++i) {
                 repeat_allowance& daemon = fleet[any(random)];
-                daemon.onRequest(desk);
+                daemon.onRequest(desk, now);
                 const int wanted = second < quietSeconds ? 0 : repeatsWanted;
-                for (int repeat = 0; repeat < wanted && daemon.take(desk); ++repeat)
+                for (int repeat = 0; repeat < wanted && daemon.take(desk, now); ++repeat)
                     ++repeats;
             }
             for (size_t i = 0; i < given.restartsPerSecond; ++i) {
@@ -106,10 +108,30 @@
 TEST(RepeatAllowance, ADaemonThatDoesNotKnowTheOthersYetMayRepeatOnce)
 {
     repeat_allowance allowance({ 0.9, 58 });
-    allowance.onRequest(desk);
-    EXPECT_TRUE(allowance.take(desk));
-    EXPECT_FALSE(allowance.take(desk)) << "nothing more has been earned";
-    EXPECT_TRUE(allowance.take(engines)) << "services have budgets of their own";
+    allowance.onRequest(desk, start);
+    EXPECT_TRUE(allowance.take(desk, start));
+    EXPECT_FALSE(allowance.take(desk, start)) << "one request allows one";
+    EXPECT_TRUE(allowance.take(engines, start)) << "services have budgets of their own";
+}
+
+// Pattern: nothing fails for long, and then everything that is running on some servers does, within a second.
+TEST(RepeatAllowance, WhatFailsAtOnceMayBeRepeatedByTheShareOfTheLastSeconds)
+{
+    repeat_allowance allowance({ 0.9, 184 });
+    allowance.setDaemons(72);
+    constexpr int requestsPerSecond = 3;
+    time_point now = start;
+    for (int second = 0; second < 10; ++second) {
+        now += std::chrono::seconds(1);
+        for (int i = 0; i < requestsPerSecond; ++i)
+            allowance.onRequest(desk, now);
+    }
+    int repeats = 0;
+    while (allowance.take(desk, now))
+        ++repeats;
+    EXPECT_GE(repeats, 12) << "nine tenths of nine tenths of the requests of five seconds";
+    now += std::chrono::seconds(6);
+    EXPECT_TRUE(allowance.take(desk, now)) << "what was taken is forgotten";
 }
 
 } // namespace pollen
--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -59,7 +59,8 @@
     store_standin m_store { m_loop, { "127.0.0.1", 0 } };
     node_settings m_settings { instance_id("d1"), failure_domain_name("a"), { "127.0.0.1", 0 }, { "127.0.0.1", 0 },
         m_store.address(), { "127.0.0.1", 0 }, std::chrono::seconds(2), std::chrono::milliseconds(300),
-        std::chrono::seconds(8), std::chrono::milliseconds(1500), std::chrono::seconds(5), repeatShare, repeatSlack };
+        std::chrono::seconds(8), std::chrono::milliseconds(1500), std::chrono::seconds(5), repeatShare, repeatSlack,
+        repeatWindow };
     platform_relay m_relay { m_loop, m_settings, m_log, m_time };
     http_server m_front { m_loop, { "127.0.0.1", 0 }, {},
         [this](const std::shared_ptr<server_request>& message) { m_relay.gateway().handle(message); } };
