Share between daemons the requests under which servers ended

Cause: knowledge that is the fleet's was kept by each daemon for itself, in memory. Nine daemons that each need three ends let 27 servers end, and a restart forgets.

Change: crash_table holds what every daemon says of a fingerprint (team, method, host, target, body); view_sharing hands the reports of a group to the daemon that reads for it, crash_sharing has that one store them in the daemons' topic once a second, and every daemon, also one that starts, reads them there. A group shares them while the store is away. A broken connection is no longer taken for an end: server_end_watch tries the address, and withdraws an end that the server's entry refutes. An answer explains away the ends around it, so that a harmless request in much use is not refused when servers go down at once.

--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -41,17 +41,20 @@
           loop, m_client, settings, { settings.id, settings.failureDomain, settings.peers }, *this, m_random, time, log)
     , m_state(keyLifetime(settings))
     , m_rolloutSystem(m_rollouts, m_store, settings.id, static_cast<uint64_t>(time.wallMilliseconds()), log)
+    , m_crashes(settings.id)
+    , m_crashSharing(m_crashes, m_store, time, log)
     , m_exchange(loop, settings.peers, peerSecret, log)
     , m_sharing({ settings.id, settings.failureDomain }, ageLimits(settings), m_store, m_state.servers(),
-          m_rolloutSystem, m_exchange, time, log)
+          m_rolloutSystem, m_crashes, m_crashSharing, m_exchange, time, log)
     , m_sessions(settings.sessionIdle)
     , m_servers(m_random)
     , m_repeats({ settings.retryShare, settings.retrySlack, settings.retryWindow })
     , m_logBudget(logLinesPerSecond)
     , m_failureLogBudget(failureLogLinesPerSecond)
+    , m_serverEnds(m_crashes, m_state, m_probe, m_metrics, m_failureLogBudget, time, log)
     , m_shared { loop, time, m_random, log, m_client, m_probe, m_protocol, settings.failureDomain, m_state, m_rollouts,
-        m_rolloutSystem, m_sessions, m_servers, m_crashes, m_escalation, m_largestPace, m_repeats, m_metrics,
-        m_logBudget, m_failureLogBudget, m_usualLatency }
+        m_rolloutSystem, m_sessions, m_servers, m_crashes, m_serverEnds, m_escalation, m_largestPace, m_repeats,
+        m_metrics, m_logBudget, m_failureLogBudget, m_usualLatency }
     , m_gateway(m_shared)
 {
 }
@@ -60,6 +63,8 @@
 {
     m_sharing.tick(now);
     m_rolloutSystem.tick(now);
+    m_serverEnds.tick(now);
+    m_crashSharing.tick(now);
     m_gateway.tick(now);
     m_repeats.setDaemons(m_store.daemonCount());
     if (now < m_nextSweep)
@@ -67,12 +72,12 @@
     m_nextSweep = now + sweepInterval;
     m_state.servers().sweep();
     m_sessions.sweep(now);
-    m_crashes.sweep(now);
 }
 
 std::string platform_relay::renderMetrics()
 {
-    m_metrics.setState(m_time.now() - m_state.configurationKnown(), m_gateway.openRequests());
+    m_metrics.setState(m_time.now() - m_state.configurationKnown(), m_gateway.openRequests(),
+        m_crashes.countQuarantined(m_time.wallMilliseconds()));
     return m_metrics.render();
 }
 
--- a/apps/pollenrouted/platform_relay.h
+++ b/apps/pollenrouted/platform_relay.h
@@ -29,6 +29,8 @@
     void onServers(const std::vector<listed_server>& list) override;
     void onRolloutOrder(const rollout_order& order) override { m_rollouts.order(order, m_time.now()); }
     void onRolloutStatus(const rollout_status& status) override { m_rollouts.status(status); }
+    void onCrashReport(const crash_report& report) override { m_crashes.hear(report, true); }
+    void onCrashDropped(const crash_report_key& key) override { m_crashes.drop(key); }
     void onRolloutReport(const rollout_report& report) override { m_rolloutSystem.hear(report, m_time.now()); }
 
     logger& m_log;
@@ -40,17 +42,19 @@
     relay_state m_state;
     rollout_table m_rollouts;
     rollout_system m_rolloutSystem;
+    crash_table m_crashes;
+    crash_sharing m_crashSharing;
     tcp_state_exchange m_exchange;
     view_sharing m_sharing;
     session_versions m_sessions;
     placement m_servers;
-    crash_watch m_crashes;
     escalation_control m_escalation;
     answer_pace m_largestPace;
     repeat_allowance m_repeats;
     relay_metrics m_metrics;
     log_budget m_logBudget;
     log_budget m_failureLogBudget;
+    server_end_watch m_serverEnds;
     std::map<std::string, double> m_usualLatency;
     platform_protocol m_protocol;
     relay_dependencies m_shared;
--- a/libs/base/include/base/clock.h
+++ b/libs/base/include/base/clock.h
@@ -18,7 +18,8 @@
     // Monotonic; not affected by steps of the wall clock. Time while the instance is suspended counts.
     virtual time_point now() const = 0;
 
-    // Milliseconds since the Unix epoch; may step in either direction, so only for records that people read.
+    // Milliseconds since the Unix epoch; may step by seconds in either direction, so only for records that people read
+    // and for spans between daemons that are long against that.
     virtual int64_t wallMilliseconds() const = 0;
 };
 
--- a/libs/fleet/include/fleet/server_table.h
+++ b/libs/fleet/include/fleet/server_table.h
@@ -15,6 +15,8 @@
     server_entry entry;
     // The platform is taking the instance away; it must get no new work.
     bool leaving = false;
+    // Unix milliseconds of the start of its process; 0 when it does not say so.
+    int64_t started = 0;
 
     friend bool operator==(const listed_server&, const listed_server&) = default;
 };
@@ -25,6 +27,8 @@
     // False for a free slot.
     bool used = false;
     bool leaving = false;
+    // As in its listed_server.
+    int64_t started = 0;
     // Requests of this daemon that are running there.
     uint32_t ownRequests = 0;
     // Requests of other daemons, from the last load report.
@@ -57,7 +61,10 @@
     // Frees rows that are leaving, unlisted and idle.
     void sweep();
 
+    // None when the server has no row.
     std::optional<server_handle> find(const instance_id& id) const;
+    // The last list named it.
+    bool isListed(const instance_id& id) const;
     const server_row& row(server_handle server) const { return m_rows[server.index]; }
     const std::vector<server_row>& rows() const { return m_rows; }
 
--- a/libs/fleet/src/server_table.cpp
+++ b/libs/fleet/src/server_table.cpp
@@ -30,6 +30,7 @@
         }
         row.entry = listed.entry;
         row.leaving = listed.leaving;
+        row.started = listed.started;
         m_listed[target.index] = true;
     }
     for (size_t i = 0; i < m_rows.size(); ++i) {
@@ -58,6 +59,12 @@
     return found->second;
 }
 
+bool server_table::isListed(const instance_id& id) const
+{
+    const auto found = m_byId.find(id);
+    return found != m_byId.end() && m_listed[found->second.index];
+}
+
 void server_table::removeRequest(server_handle server)
 {
     assert(m_rows[server.index].ownRequests > 0);
--- a/libs/http/include/http/connection_probe.h
+++ b/libs/http/include/http/connection_probe.h
@@ -12,10 +12,19 @@
 
 namespace pollen {
 
+// What a connection attempt shows of an address.
+enum class probe_result {
+    Accepted,
+    // The instance answers, and nothing listens there.
+    Refused,
+    // No answer: the instance is down, or the network between is cut.
+    Silent,
+};
+
 // Finds out whether an address accepts connections, without sending anything over them.
 class connection_probe {
 public:
-    using callback = std::function<void(bool reachable)>;
+    using callback = std::function<void(probe_result result)>;
 
     explicit connection_probe(event_loop& loop);
     ~connection_probe();
@@ -31,7 +40,7 @@
         bufferevent* connection = nullptr;
     };
 
-    void finish(const endpoint& server, bool reachable);
+    void finish(const endpoint& server, probe_result result);
 
     event_loop& m_loop;
     std::map<endpoint, std::unique_ptr<probe>> m_probes;
--- a/libs/http/src/connection_probe.cpp
+++ b/libs/http/src/connection_probe.cpp
@@ -1,6 +1,7 @@
 #include <http/connection_probe.h>
 
 #include <base/socket_address.h>
+#include <cerrno>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <utility>
@@ -11,7 +12,7 @@
 
 // What the callback of a bufferevent needs; owned by the bufferevent until it is freed.
 struct probe_target {
-    std::function<void(bool)> finish;
+    std::function<void(probe_result)> finish;
 };
 
 timeval toTimeval(duration span)
@@ -20,6 +21,14 @@
     return { seconds.count(), std::chrono::duration_cast<std::chrono::microseconds>(span - seconds).count() };
 }
 
+probe_result toResult(short what, int socketError)
+{
+    if (what & BEV_EVENT_CONNECTED)
+        return probe_result::Accepted;
+    const bool answered = (what & BEV_EVENT_ERROR) && (socketError == ECONNREFUSED || socketError == ECONNRESET);
+    return answered ? probe_result::Refused : probe_result::Silent;
+}
+
 } // namespace
 
 connection_probe::connection_probe(event_loop& loop)
@@ -49,9 +58,9 @@
     running->waiting.push_back(std::move(done));
     running->connection = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     const auto onEvent = [](bufferevent*, short what, void* target) {
-        static_cast<probe_target*>(target)->finish((what & BEV_EVENT_CONNECTED) != 0);
+        static_cast<probe_target*>(target)->finish(toResult(what, EVUTIL_SOCKET_ERROR()));
     };
-    auto* target = new probe_target { [this, server](bool reachable) { finish(server, reachable); } };
+    auto* target = new probe_target { [this, server](probe_result result) { finish(server, result); } };
     bufferevent_setcb(running->connection, nullptr, nullptr, onEvent, target);
     const timeval limit = toTimeval(atMost);
     bufferevent_set_timeouts(running->connection, nullptr, &limit);
@@ -59,13 +68,14 @@
     socket_address address = toSocketAddress(server);
     if (bufferevent_socket_connect(running->connection, address.get(), static_cast<int>(address.length)) == 0)
         return;
-    m_loop.post([this, server, alive = std::weak_ptr<bool>(m_alive)] {
+    const probe_result result = toResult(BEV_EVENT_ERROR, EVUTIL_SOCKET_ERROR());
+    m_loop.post([this, server, result, alive = std::weak_ptr<bool>(m_alive)] {
         if (!alive.expired())
-            finish(server, false);
+            finish(server, result);
     });
 }
 
-void connection_probe::finish(const endpoint& server, bool reachable)
+void connection_probe::finish(const endpoint& server, probe_result result)
 {
     const auto found = m_probes.find(server);
     if (found == m_probes.end())
@@ -81,7 +91,7 @@
         delete static_cast<probe_target*>(target);
     });
     for (const callback& done : ended->waiting)
-        done(reachable);
+        done(result);
 }
 
 } // namespace pollen
--- a/libs/http/tests/connection_probe_test.cpp
+++ b/libs/http/tests/connection_probe_test.cpp
@@ -52,10 +52,10 @@
 
 class ConnectionProbeTest : public testing::Test {
 protected:
-    std::optional<bool> ask(const endpoint& server)
+    std::optional<probe_result> ask(const endpoint& server)
     {
-        std::optional<bool> answer;
-        m_probe.ask(server, limit, [&](bool reachable) { answer = reachable; });
+        std::optional<probe_result> answer;
+        m_probe.ask(server, limit, [&](probe_result result) { answer = result; });
         m_loop.runUntil([&] { return answer.has_value(); }, patience);
         return answer;
     }
@@ -71,12 +71,12 @@
     std::optional<endpoint> gone;
     {
         const http_server server(m_loop, { "127.0.0.1", 0 }, {}, [](const auto&) {});
-        EXPECT_EQ(ask(server.address()), true);
+        EXPECT_EQ(ask(server.address()), probe_result::Accepted);
         gone = server.address();
     }
-    EXPECT_EQ(ask(*gone), false);
+    EXPECT_EQ(ask(*gone), probe_result::Refused);
     const full_listener silent;
-    EXPECT_EQ(ask(silent.address()), false);
+    EXPECT_EQ(ask(silent.address()), probe_result::Silent);
 }
 
 TEST_F(ConnectionProbeTest, ThoseWhoAskTogetherAreAllTold)
@@ -84,7 +84,8 @@
     const full_listener silent;
     int answers = 0;
     for (int i = 0; i < 3; ++i)
-        m_probe.ask(silent.address(), limit, [&](bool reachable) { answers += reachable ? 0 : 1; });
+        m_probe.ask(
+            silent.address(), limit, [&](probe_result result) { answers += result == probe_result::Silent ? 1 : 0; });
     EXPECT_TRUE(m_loop.runUntil([&] { return answers == 3; }, patience));
 }
 
@@ -94,7 +95,7 @@
     int answers = 0;
     {
         connection_probe brief(m_loop);
-        brief.ask(silent.address(), limit, [&](bool) { ++answers; });
+        brief.ask(silent.address(), limit, [&](probe_result) { ++answers; });
     }
     m_loop.runUntil([] { return false; }, limit * 2);
     EXPECT_EQ(answers, 0);
--- /dev/null
+++ b/libs/relay/include/relay/crash_table.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <relay/crash_report.h>
+#include <unordered_map>
+
+namespace pollen {
+
+// The requests under which servers have ended, as all daemons report them. A request is quarantined when three servers
+// have ended under it and nobody has seen an answer to it: it is sent to no further server.
+//
+// Times are Unix milliseconds. Steps of a daemon's clock by some seconds are small against the spans that are compared.
+class crash_table {
+public:
+    // self: the daemon that keeps the table.
+    explicit crash_table(instance_id self)
+        : m_self(std::move(self))
+    {
+    }
+
+    // A server ended while it ran the request for this daemon.
+    void addEnd(uint64_t fingerprint, const instance_id& server, int64_t now);
+
+    // It has turned out that the server did not end: takes back what addEnd() said.
+    void withdrawEnd(uint64_t fingerprint, const instance_id& server, int64_t at);
+
+    // A server answered the request in full. Requests that servers have just answered are not what ends them, however
+    // many servers go down at the same time.
+    void addAnswer(uint64_t fingerprint, int64_t now);
+
+    // Takes in what a daemon says. stored: it stands in the store.
+    void hear(const crash_report& report, bool stored);
+
+    // The store holds the report no longer.
+    void drop(const crash_report_key& key);
+
+    // suspected: ends under the request that have not been confirmed yet; they count unless it was answered lately.
+    bool isQuarantined(uint64_t fingerprint, int64_t now, size_t suspected = 0) const;
+
+    // Servers that have ended under the request since it was last answered.
+    size_t countEnds(uint64_t fingerprint) const;
+
+    // Reports that the store does not hold yet and that others need to know; at most a batch.
+    std::vector<crash_report> unstored() const;
+    // Those of them that are this daemon's own.
+    std::vector<crash_report> ownUnstored() const;
+
+    // Stored reports that no longer matter.
+    std::vector<crash_report_key> outdated(int64_t now) const;
+
+    // Requests that have been quarantined since the last call.
+    std::vector<uint64_t> takeNewlyQuarantined(int64_t now);
+
+    size_t countQuarantined(int64_t now) const;
+
+    // Forgets what no longer matters.
+    void sweep(int64_t now);
+
+private:
+    struct row {
+        crash_report report;
+        std::optional<crash_report> stored;
+    };
+    // One request.
+    struct entry {
+        std::map<instance_id, row> byDaemon;
+        bool quarantineReported = false;
+    };
+
+    static int64_t answered(const entry& request);
+    // Ends that no answer explains away, oldest first; those that several daemons have seen count once.
+    static std::vector<server_end> countedEnds(const entry& request);
+    static int64_t lastEvent(const entry& request);
+    static bool isQuarantined(const entry& request, int64_t now);
+    static bool isOutdated(const entry& request, int64_t now);
+    static bool isKnownToOthers(const entry& request);
+    // Adds this daemon's own answer where it explains an end away.
+    void applyAnswer(uint64_t fingerprint, entry& request);
+    // This daemon's report, to be changed.
+    crash_report& changeOwn(uint64_t fingerprint, entry& request);
+    void hearOwn(row& own, const crash_report& report);
+
+    instance_id m_self;
+    std::unordered_map<uint64_t, entry> m_requests;
+    // The last answer of each request that this daemon has seen answered lately.
+    std::unordered_map<uint64_t, int64_t> m_answers;
+};
+
+} // namespace pollen
--- a/libs/relay/include/relay/fleet_store.h
+++ b/libs/relay/include/relay/fleet_store.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <peer/peer_table.h>
+#include <relay/crash_report.h>
 #include <relay/rollout.h>
 #include <relay/shared_topic.h>
 
@@ -20,6 +21,13 @@
     // Publishes a report; it may be lost.
     virtual void publishReport(const rollout_report& report) = 0;
 
+    // Stores reports of requests under which servers ended, and drops those that no longer matter. Reports true once
+    // all of it is known to be stored.
+    using crash_callback = std::function<void(bool stored)>;
+    virtual void publishCrashes(const std::vector<crash_report>& reports, const std::vector<crash_report_key>& outdated,
+        crash_callback callback)
+        = 0;
+
     // Reports and states of roll-outs are followed only while they are wanted.
     virtual void followReports(bool wanted) = 0;
 
--- a/libs/relay/include/relay/relay_dependencies.h
+++ b/libs/relay/include/relay/relay_dependencies.h
@@ -6,7 +6,7 @@
 #include <http/http_client.h>
 #include <map>
 #include <relay/answer_pace.h>
-#include <relay/crash_watch.h>
+#include <relay/crash_table.h>
 #include <relay/escalation_control.h>
 #include <relay/log_budget.h>
 #include <relay/placement.h>
@@ -15,6 +15,7 @@
 #include <relay/relay_state.h>
 #include <relay/repeat_allowance.h>
 #include <relay/rollout_system.h>
+#include <relay/server_end_watch.h>
 #include <relay/session_versions.h>
 
 namespace pollen {
@@ -34,7 +35,8 @@
     rollout_system& rolloutSystem;
     session_versions& sessions;
     placement& servers;
-    crash_watch& crashes;
+    crash_table& crashes;
+    server_end_watch& serverEnds;
     escalation_control& escalation;
     answer_pace& largestPace;
     repeat_allowance& repeats;
--- a/libs/relay/include/relay/relay_metrics.h
+++ b/libs/relay/include/relay/relay_metrics.h
@@ -23,11 +23,12 @@
     // A request was to be sent once more after it had arrived at a server. outcome: "sent", or "denied" where the share
     // of repeats is spent.
     void countRepeat(const std::string& service, const std::string& outcome);
-    // A server ended, or seems to have ended, while it ran a request. sign: what showed it.
-    void countServerEnd(const std::string& service, const std::string& sign);
+    // A server may have ended while it ran a request. sign: what showed it. verdict: what was found out.
+    void countServerEnd(const std::string& service, const std::string& sign, const std::string& verdict);
     void observeFirstByte(const std::string& route, const std::string& team, duration latency);
     // State at the time of asking. configurationAge: since the configuration was last known to be the newest.
-    void setState(duration configurationAge, size_t openRequests);
+    // quarantined: requests that are sent to no server because servers ended under them.
+    void setState(duration configurationAge, size_t openRequests, size_t quarantined);
 
     // Prometheus text format.
     std::string render() const;
@@ -42,6 +43,7 @@
     prometheus::Family<prometheus::Histogram>& m_teamLatency;
     prometheus::Gauge& m_configurationAge;
     prometheus::Gauge& m_openRequests;
+    prometheus::Gauge& m_quarantined;
 };
 
 } // namespace pollen
--- a/libs/relay/include/relay/view_message.h
+++ b/libs/relay/include/relay/view_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/error.h>
+#include <relay/crash_report.h>
 #include <relay/rollout.h>
 #include <relay/shared_topic.h>
 
@@ -31,6 +32,8 @@
     std::vector<rollout_report> reports;
     // What the sender itself has under way.
     std::vector<server_work> work;
+    // What the sender has seen of requests under which servers ended and the store does not hold yet.
+    std::vector<crash_report> crashes;
 
     friend bool operator==(const view_request&, const view_request&) = default;
 };
@@ -42,6 +45,8 @@
     std::vector<rollout_report> totals;
     // What the other daemons of the group have under way.
     std::vector<server_work> work;
+    // What the daemons of the group have seen of requests under which servers ended and the store does not hold yet.
+    std::vector<crash_report> crashes;
 
     friend bool operator==(const view_reply&, const view_reply&) = default;
 };
--- a/libs/relay/include/relay/view_sharing.h
+++ b/libs/relay/include/relay/view_sharing.h
@@ -5,6 +5,7 @@
 #include <fleet/server_table.h>
 #include <memory>
 #include <peer/state_exchange.h>
+#include <relay/crash_sharing.h>
 #include <relay/fleet_store.h>
 #include <relay/rollout_system.h>
 #include <relay/view_message.h>
@@ -27,9 +28,9 @@
         duration ofStore { 0 };
     };
 
-    // servers: where the work of other daemons is entered.
+    // servers: where the work of other daemons is entered. crashTable: where their reports of crashes are.
     view_sharing(identity self, age_limits limits, fleet_store& store, server_table& servers, rollout_system& rollouts,
-        state_exchange& exchange, const clock& time, logger& log);
+        crash_table& crashTable, crash_sharing& crashes, state_exchange& exchange, const clock& time, logger& log);
 
     void tick(time_point now) override;
 
@@ -66,6 +67,8 @@
     fleet_store& m_store;
     server_table& m_servers;
     rollout_system& m_rollouts;
+    crash_table& m_crashTable;
+    crash_sharing& m_crashes;
     state_exchange& m_exchange;
     const clock& m_time;
     logger& m_log;
--- a/libs/relay/src/admission.cpp
+++ b/libs/relay/src/admission.cpp
@@ -12,13 +12,22 @@
 constexpr duration retryAfterStart = std::chrono::milliseconds(150);
 // Another daemon may know a newer configuration.
 constexpr duration retryAfterOutdated = std::chrono::milliseconds(800);
-constexpr duration retryAfterSuspect = std::chrono::seconds(60);
+constexpr duration retryAfterQuarantine = std::chrono::seconds(60);
 
 constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
 constexpr int statusBadRequest = 400;
 constexpr int statusUnavailable = 503;
 
+// Teams are kept apart, so that none can have another's requests quarantined.
+uint64_t fingerprintOf(const admission& found, const http_request& request, const std::string& host)
+{
+    uint64_t hash = found.team ? hashOf(found.team->name.text()) : 0;
+    for (const std::string* part : { &request.method, &host, &request.target, &request.body })
+        hash = hashOf(*part, hash);
+    return hash;
+}
+
 std::optional<refusal> findTeam(
     admission& found, const relay_state& state, const request_traits& traits, time_point now)
 {
@@ -59,9 +68,9 @@
     const duration callerTime = traits.timeLeft.value_or(defaultDeadline);
     const duration routeTime = found.route->timeout;
     found.deadline = now + (routeTime.count() > 0 ? std::min(callerTime, routeTime) : callerTime);
-    found.fingerprint = hashOf(traits.key) ^ hashOf(request.target) * 3 ^ hashOf(request.body) * 7;
-    if (dependencies.crashes.isSuspect(found.fingerprint, now))
-        found.refused = refusal { statusUnavailable, "request_breaks_servers", retryAfterSuspect };
+    found.fingerprint = fingerprintOf(found, request, host);
+    if (dependencies.crashes.isQuarantined(found.fingerprint, dependencies.time.wallMilliseconds()))
+        found.refused = refusal { statusUnavailable, "request_breaks_servers", retryAfterQuarantine };
     return found;
 }
 
--- a/libs/relay/src/admission.h
+++ b/libs/relay/src/admission.h
@@ -19,7 +19,7 @@
     // None on routes that anybody may use.
     const relay_team* team = nullptr;
     time_point deadline {};
-    // The same for requests with the same key, target and body.
+    // The same for requests of the same team with the same method, host, target and body.
     uint64_t fingerprint = 0;
     std::optional<refusal> refused;
 };
--- /dev/null
+++ b/libs/relay/src/crash_sharing.cpp
@@ -0,0 +1,60 @@
+#include <relay/crash_sharing.h>
+
+namespace pollen {
+
+namespace {
+
+// Bounds the calls to the store. With a pause of the readers as long and a question to them each way, all daemons know
+// within three seconds, the shortest time that the platform gives.
+constexpr duration publishInterval = std::chrono::milliseconds(1000);
+
+} // namespace
+
+crash_sharing::crash_sharing(crash_table& table, fleet_store& store, const clock& time, logger& log)
+    : m_table(table)
+    , m_store(store)
+    , m_time(time)
+    , m_log(log)
+    , m_alive(std::make_shared<bool>(true))
+{
+}
+
+void crash_sharing::tick(time_point now)
+{
+    if (now < m_next)
+        return;
+    m_next = now + publishInterval;
+    logQuarantines();
+    m_table.sweep(m_time.wallMilliseconds());
+    if (m_reading && !m_publishing)
+        publish();
+}
+
+void crash_sharing::logQuarantines()
+{
+    for (const uint64_t fingerprint : m_table.takeNewlyQuarantined(m_time.wallMilliseconds()))
+        m_log.write(log_level::Warning, "request_quarantined",
+            { { "fingerprint", fingerprintText(fingerprint) },
+                { "ends", static_cast<int64_t>(m_table.countEnds(fingerprint)) } });
+}
+
+void crash_sharing::publish()
+{
+    std::vector<crash_report> reports = m_table.unstored();
+    const std::vector<crash_report_key> outdated = m_table.outdated(m_time.wallMilliseconds());
+    if (reports.empty() && outdated.empty())
+        return;
+    m_publishing = true;
+    m_store.publishCrashes(reports, outdated, [this, reports, alive = std::weak_ptr<bool>(m_alive)](bool stored) {
+        if (alive.expired())
+            return;
+        m_publishing = false;
+        // Without an answer they may have been stored; storing them once more changes nothing.
+        if (!stored)
+            return;
+        for (const crash_report& report : reports)
+            m_table.hear(report, true);
+    });
+}
+
+} // namespace pollen
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -68,11 +68,11 @@
         return;
     m_silence.ask();
     m_dependencies.probe.ask(m_serverAddress, probeTimeout,
-        [weak = weak_from_this(), attempt = m_attempts, &time = m_dependencies.time](bool reachable) {
+        [weak = weak_from_this(), attempt = m_attempts, &time = m_dependencies.time](probe_result result) {
             const auto self = weak.lock();
             if (!self || !self->m_exchange || self->m_attempts != attempt)
                 return;
-            if (reachable)
+            if (result == probe_result::Accepted)
                 self->m_silence.reachable(time.now());
             else
                 self->onServerUnreachable();
@@ -134,6 +134,7 @@
     m_server = choice.server;
     m_serverId = row.entry.id;
     m_serverAddress = row.entry.address;
+    m_serverStarted = row.started;
     m_service = placement.service;
     m_version = row.entry.versions.empty() ? version_name() : row.entry.versions.front().version;
     m_sent = m_dependencies.time.now();
@@ -321,6 +322,7 @@
         return;
     }
     m_dependencies.state.servers().reportSuccess(server);
+    m_dependencies.crashes.addAnswer(m_admission.fingerprint, m_dependencies.time.wallMilliseconds());
     countAnswer(m_status < firstServerError);
     if (m_discard) {
         tryAgain("server_error", true);
@@ -380,10 +382,8 @@
         m_run = run_knowledge::MayHaveRun;
         m_runs += result.responseStarted ? 0 : 1;
         countAnswer(false);
-        if (result.refused) {
-            m_dependencies.crashes.countBreak(m_admission.fingerprint, now);
-            noteServerEnd("connection_lost");
-        }
+        if (result.refused)
+            suspectEnd("connection_lost");
     }
     if (timedOut) {
         countPace();
@@ -403,7 +403,6 @@
     m_body.clear();
     m_run = run_knowledge::MayHaveRun;
     m_runs += m_status == 0 ? 1 : 0;
-    noteServerEnd("unreachable");
     tryAgain("server_unreachable", true);
 }
 
@@ -414,7 +413,7 @@
     m_lastReason = reason;
     if (m_run != run_knowledge::NotRun && !m_admission.route->mayRepeat())
         m_obstacle = "may_have_run";
-    else if (m_dependencies.crashes.isSuspect(m_admission.fingerprint, m_dependencies.time.now()))
+    else if (m_dependencies.serverEnds.mayNotRunAgain(m_admission.fingerprint))
         m_obstacle = "request_breaks_servers";
     else if (!mayTryAgain())
         m_obstacle = "no_attempt_left";
@@ -440,16 +439,10 @@
     return taken;
 }
 
-void relay_exchange::noteServerEnd(const char* sign)
+void relay_exchange::suspectEnd(const char* sign)
 {
-    m_dependencies.metrics.countServerEnd(m_service.text(), sign);
-    if (!m_dependencies.failureLogBudget.take(m_dependencies.time.now()))
-        return;
-    m_dependencies.log.write(log_level::Warning, "server_ended",
-        { { "request", m_traits.id.text() }, { "fingerprint", fingerprintText(m_admission.fingerprint) },
-            { "server", m_serverId.text() }, { "service", m_service.text() }, { "sign", sign },
-            { "ran_ms", toMilliseconds(m_dependencies.time.now() - m_sent) },
-            { "ends", static_cast<int64_t>(m_dependencies.crashes.breaks(m_admission.fingerprint)) } });
+    m_dependencies.serverEnds.suspect(
+        { m_admission.fingerprint, m_traits.id, m_serverId, m_serverAddress, m_service, sign, m_serverStarted });
 }
 
 void relay_exchange::giveUp(const char* reason)
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -62,8 +62,8 @@
     void countAnswer(bool good);
     // Takes one repeat out of the daemon's share.
     bool takeRepeat(const service_name& service);
-    // The server ended, or seems to have ended, while it ran the request. sign: what showed it.
-    void noteServerEnd(const char* sign);
+    // The server may have ended while it ran the request. sign: what showed it.
+    void suspectEnd(const char* sign);
 
     // Ends the request with an answer of the router's own.
     void refuse(int status, const char* type, std::optional<duration> retryAfter = {});
@@ -90,6 +90,8 @@
     std::optional<server_handle> m_server;
     instance_id m_serverId;
     endpoint m_serverAddress;
+    // Start of the server's process, Unix milliseconds.
+    int64_t m_serverStarted = 0;
     service_name m_service;
     version_name m_version;
     time_point m_sent {};
--- a/libs/relay/src/relay_metrics.cpp
+++ b/libs/relay/src/relay_metrics.cpp
@@ -25,7 +25,7 @@
                     .Register(m_registry))
     , m_serverEnds(prometheus::BuildCounter()
                        .Name("pollen_relay_server_ends_total")
-                       .Help("Servers that ended, or seem to have ended, while they ran a request")
+                       .Help("Servers that may have ended while they ran a request, by what was found out")
                        .Register(m_registry))
     , m_latency(prometheus::BuildHistogram()
                     .Name("pollen_relay_first_byte_seconds")
@@ -45,6 +45,11 @@
                          .Help("Requests that are not finished")
                          .Register(m_registry)
                          .Add({}))
+    , m_quarantined(prometheus::BuildGauge()
+                        .Name("pollen_relay_quarantined_requests")
+                        .Help("Requests that are sent to no server because servers ended under them")
+                        .Register(m_registry)
+                        .Add({}))
 {
 }
 
@@ -54,10 +59,11 @@
     m_outcomes.Add({ { "route", route }, { "team", team }, { "outcome", outcome }, { "reason", reason } }).Increment();
 }
 
-void relay_metrics::setState(duration configurationAge, size_t openRequests)
+void relay_metrics::setState(duration configurationAge, size_t openRequests, size_t quarantined)
 {
     m_configurationAge.Set(toSeconds(configurationAge));
     m_openRequests.Set(static_cast<double>(openRequests));
+    m_quarantined.Set(static_cast<double>(quarantined));
 }
 
 void relay_metrics::countSend(const std::string& service) { m_sends.Add({ { "service", service } }).Increment(); }
@@ -67,9 +73,9 @@
     m_repeats.Add({ { "service", service }, { "outcome", outcome } }).Increment();
 }
 
-void relay_metrics::countServerEnd(const std::string& service, const std::string& sign)
+void relay_metrics::countServerEnd(const std::string& service, const std::string& sign, const std::string& verdict)
 {
-    m_serverEnds.Add({ { "service", service }, { "sign", sign } }).Increment();
+    m_serverEnds.Add({ { "service", service }, { "sign", sign }, { "verdict", verdict } }).Increment();
 }
 
 void relay_metrics::observeFirstByte(const std::string& route, const std::string& team, duration latency)
--- a/libs/relay/src/request_hash.h
+++ b/libs/relay/src/request_hash.h
@@ -1,23 +1,13 @@
 #pragma once
 
-#include <array>
 #include <cstdint>
-#include <cstdio>
-#include <string>
 #include <string_view>
 #include <xxhash.h>
 
 namespace pollen {
 
-inline uint64_t hashOf(std::string_view text) { return XXH64(text.data(), text.size(), 0); }
-
-// As it stands in log lines and in the store.
-inline std::string fingerprintText(uint64_t fingerprint)
-{
-    std::array<char, 17> text {};
-    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(fingerprint));
-    return text.data();
-}
+// seed: the hash of what stands before the text.
+inline uint64_t hashOf(std::string_view text, uint64_t seed = 0) { return XXH64(text.data(), text.size(), seed); }
 
 // A number from 0 up to 1 that is the same for the same hash in every daemon.
 inline double pointOf(uint64_t hash)
--- a/libs/relay/src/view_message.cpp
+++ b/libs/relay/src/view_message.cpp
@@ -45,14 +45,21 @@
     archive(work.server, work.requests, work.unreadTokens);
 }
 
+template <typename Archive> void serialize(Archive& archive, server_end& end) { archive(end.server, end.at); }
+
+template <typename Archive> void serialize(Archive& archive, crash_report& report)
+{
+    archive(report.key.fingerprint, report.key.daemon, report.revision, report.ends, report.answered);
+}
+
 template <typename Archive> void serialize(Archive& archive, view_request& request)
 {
-    archive(request.positions, request.sender, request.reports, request.work);
+    archive(request.positions, request.sender, request.reports, request.work, request.crashes);
 }
 
 template <typename Archive> void serialize(Archive& archive, view_reply& reply)
 {
-    archive(reply.changes, reply.totals, reply.work);
+    archive(reply.changes, reply.totals, reply.work, reply.crashes);
 }
 
 namespace {
--- a/libs/relay/src/view_sharing.cpp
+++ b/libs/relay/src/view_sharing.cpp
@@ -17,12 +17,15 @@
 } // namespace
 
 view_sharing::view_sharing(identity self, age_limits limits, fleet_store& store, server_table& servers,
-    rollout_system& rollouts, state_exchange& exchange, const clock& time, logger& log)
+    rollout_system& rollouts, crash_table& crashTable, crash_sharing& crashes, state_exchange& exchange,
+    const clock& time, logger& log)
     : m_self(std::move(self))
     , m_limits(limits)
     , m_store(store)
     , m_servers(servers)
     , m_rollouts(rollouts)
+    , m_crashTable(crashTable)
+    , m_crashes(crashes)
     , m_exchange(exchange)
     , m_time(time)
     , m_log(log)
@@ -97,6 +100,7 @@
     request.sender = m_self.id;
     request.reports = m_rollouts.ownReports(now);
     request.work = ownWork();
+    request.crashes = m_crashTable.ownUnstored();
     m_asked = peer;
     m_askedAt = now;
     const uint64_t asking = ++m_asking;
@@ -133,6 +137,8 @@
     for (const rollout_report& total : reply.totals)
         m_rollouts.hearTotal(total, now);
     enterWork(reply.work);
+    for (const crash_report& report : reply.crashes)
+        m_crashTable.hear(report, false);
     m_penalties.erase(peer);
     m_failuresInARow = 0;
     m_asked.reset();
@@ -160,6 +166,7 @@
     m_upstream = peer;
     m_store.setReading(peer.empty());
     m_rollouts.setReading(peer.empty());
+    m_crashes.setReading(peer.empty());
     m_log.write(log_level::Info, "view_source", { { "upstream", peer.empty() ? std::string("store") : peer.text() } });
 }
 
@@ -219,9 +226,12 @@
         }
         for (const rollout_report& report : request.reports)
             m_rollouts.hearMember(report, now);
+        for (const crash_report& report : request.crashes)
+            m_crashTable.hear(report, false);
         m_members[request.sender] = { request.work, now };
         reply.totals = m_rollouts.totals(now);
         reply.work = workBeside(request.sender, now);
+        reply.crashes = m_crashTable.unstored();
         return encodeViewReply(reply);
     } catch (const view_message_error& problem) {
         m_log.write(log_level::Warning, "view_request_unreadable", { { "problem", problem.what() } });
--- a/libs/relay/tests/fake_fleet_store.h
+++ b/libs/relay/tests/fake_fleet_store.h
@@ -16,6 +16,13 @@
             waiting = std::move(callback);
     }
     void publishReport(const rollout_report& report) override { reports.push_back(report); }
+    void publishCrashes(const std::vector<crash_report>& crashes, const std::vector<crash_report_key>& outdated,
+        crash_callback callback) override
+    {
+        crashReports.insert(crashReports.end(), crashes.begin(), crashes.end());
+        droppedCrashes.insert(droppedCrashes.end(), outdated.begin(), outdated.end());
+        callback(stores);
+    }
     void followReports(bool wanted) override { following = wanted; }
     void setReading(bool itReads) override { reading = itReads; }
     std::vector<shared_topic*> topics() override { return shared; }
@@ -24,6 +31,8 @@
 
     std::vector<rollout_status> published;
     std::vector<rollout_report> reports;
+    std::vector<crash_report> crashReports;
+    std::vector<crash_report_key> droppedCrashes;
     publish_callback waiting;
     std::vector<shared_topic*> shared;
     std::vector<listed_peer> listed;
--- a/libs/relay/tests/relay_values_test.cpp
+++ b/libs/relay/tests/relay_values_test.cpp
@@ -1,7 +1,6 @@
 #include <gtest/gtest.h>
 #include <relay/answer_pace.h>
 #include <relay/attempt_history.h>
-#include <relay/crash_watch.h>
 #include <relay/escalation_control.h>
 #include <relay/event_splitter.h>
 #include <relay/log_budget.h>
@@ -122,19 +121,6 @@
     EXPECT_EQ(sessions.find(2, start), std::nullopt);
 }
 
-TEST(CrashWatch, OnlyARequestThatBreaksServerAfterServerIsSuspect)
-{
-    crash_watch watch;
-    watch.countBreak(1, start);
-    watch.countBreak(1, start);
-    watch.countBreak(2, start);
-    EXPECT_FALSE(watch.isSuspect(1, start));
-    watch.countBreak(1, start);
-    EXPECT_TRUE(watch.isSuspect(1, start));
-    EXPECT_FALSE(watch.isSuspect(2, start));
-    EXPECT_FALSE(watch.isSuspect(1, start + std::chrono::minutes(2)));
-}
-
 // Pattern: some engines are slow under load and some are cut off; both are silent.
 TEST(SilenceWatch, LooksIntoSilenceBeyondWhatWasExpected)
 {
--- a/libs/relay/tests/view_sharing_test.cpp
+++ b/libs/relay/tests/view_sharing_test.cpp
@@ -75,10 +75,12 @@
     test_daemon(fake_network& network, const clock& time, const std::string& id, const char* domain, uint16_t port)
         : listed { instance_id(id), failure_domain_name(domain), { "127.0.0.1", port } }
         , rollouts(table, store, listed.id, 1, log)
+        , crashTable(listed.id)
+        , crashes(crashTable, store, time, log)
         , exchange(network, listed.address)
         , sharing({ listed.id, listed.failureDomain },
-              { std::chrono::milliseconds(1300), std::chrono::milliseconds(1800) }, store, servers, rollouts, exchange,
-              time, log)
+              { std::chrono::milliseconds(1300), std::chrono::milliseconds(1800) }, store, servers, rollouts,
+              crashTable, crashes, exchange, time, log)
     {
     }
 
@@ -88,6 +90,8 @@
     rollout_table table;
     server_table servers;
     rollout_system rollouts;
+    crash_table crashTable;
+    crash_sharing crashes;
     fake_exchange exchange;
     view_sharing sharing;
     bool storeWorks = true;
@@ -219,10 +223,11 @@
 {
     const rollout_report report { instance_id("d"), 7, service_name("s"), version_name("v"), std::chrono::seconds(3),
         { 1, 2, 3 }, { 4, 5, 6 }, 7 };
-    const view_request request { { 1, 2 }, instance_id("d"), { report }, { { instance_id("e"), 3, 17000 } } };
+    const view_request request { { 1, 2 }, instance_id("d"), { report }, { { instance_id("e"), 3, 17000 } },
+        { { { 5, instance_id("d") }, 2, { { instance_id("e"), 1796354559998 } }, 1796354559000 } } };
     EXPECT_EQ(decodeViewRequest(encodeViewRequest(request)), request);
     const view_reply reply { { { true, 9, std::chrono::seconds(2), { { "k", "v", 3 }, { "d", std::nullopt, 4 } } } },
-        request.reports, request.work };
+        request.reports, request.work, request.crashes };
     const std::string bytes = encodeViewReply(reply);
     EXPECT_EQ(decodeViewReply(bytes), reply);
     for (size_t length = 0; length + 1 < bytes.size(); ++length)
@@ -289,6 +294,22 @@
     EXPECT_EQ(row("a2").outstanding(), 1U);
 }
 
+// Pattern: the store is away while servers end under a request that comes through every daemon in turn.
+TEST_F(ViewSharingTest, DaemonsOfAFailureDomainShareCrashesAlsoWhileTheStoreIsAway)
+{
+    run(std::chrono::seconds(1));
+    for (const auto& [id, daemon] : m_daemons)
+        daemon->store.stores = false;
+    constexpr uint64_t killer = 1;
+    int server = 0;
+    for (const char* id : { "a1", "a2", "a3" })
+        at(id).crashTable.addEnd(killer, instance_id("i-" + std::to_string(++server)), m_time.wallMilliseconds());
+    run(std::chrono::milliseconds(600));
+    for (const char* id : { "a1", "a2", "a3" })
+        EXPECT_TRUE(at(id).crashTable.isQuarantined(killer, m_time.wallMilliseconds())) << id;
+    EXPECT_FALSE(at("b1").crashTable.isQuarantined(killer, m_time.wallMilliseconds()));
+}
+
 // Pattern: the store turns some m_daemons away and serves the others.
 TEST_F(ViewSharingTest, ADaemonThatTheStoreTurnsAwayLearnsFromAnyOther)
 {
--- a/standins/tests/crashing_request_test.cpp
+++ b/standins/tests/crashing_request_test.cpp
@@ -9,16 +9,18 @@
 constexpr size_t endsThatCondemn = 3;
 
 // How a server process ends when it begins to run the request that crashes it.
-enum class server_end {
+enum class ending {
     // The operating system closes its connections.
     Reset,
+    // Only the connection breaks; the server goes on.
+    None,
     // The instance loses power: connections stay open, nothing listens any more.
     Silent,
 };
 
 class crashing_server {
 public:
-    crashing_server(event_loop& loop, server_end end)
+    crashing_server(event_loop& loop, ending end)
         : m_end(end)
         , m_server(
               loop, { "127.0.0.1", 0 }, {}, [this](const std::shared_ptr<server_request>& request) { handle(request); })
@@ -35,14 +37,16 @@
             request->reply(200, answerHeaders(*request), "done");
             return;
         }
-        m_ended = true;
-        m_server.stopAccepting();
         m_held.push_back(request);
-        if (m_end == server_end::Reset)
+        if (m_end != ending::Silent)
             request->abort();
+        if (m_end == ending::None)
+            return;
+        m_ended = true;
+        m_server.stopAccepting();
     }
 
-    server_end m_end;
+    ending m_end;
     bool m_ended = false;
     std::vector<std::shared_ptr<server_request>> m_held;
     http_server m_server;
@@ -52,7 +56,7 @@
 protected:
     void SetUp() override { m_store.put("keyed.op", "config", configuration(1)); }
 
-    void addServers(const char* service, server_end end, size_t count)
+    void addServers(const char* service, ending end, size_t count)
     {
         for (size_t i = 0; i < count; ++i) {
             m_servers.push_back(std::make_unique<crashing_server>(m_loop, end));
@@ -109,7 +113,7 @@
 // had not itself lost three to it.
 TEST_F(CrashingRequestTest, NoDaemonOfTheFleetSendsARequestUnderWhichThreeServersEnded)
 {
-    addServers("desk", server_end::Reset, 12);
+    addServers("desk", ending::Reset, 12);
     const std::vector<fleet_daemon*> daemons { &start("a1", "a"), &start("a2", "a"), &start("b1", "b") };
     for (const fleet_daemon* daemon : daemons)
         EXPECT_EQ(send(*daemon, "POST", "/o/x", "crash"), 502);
@@ -126,7 +130,7 @@
 // Guards against BUDGET: a daemon that was restarted sent a request again under which three servers had ended.
 TEST_F(CrashingRequestTest, ARestartedDaemonKnowsTheRequestsUnderWhichServersEnded)
 {
-    addServers("desk", server_end::Reset, 8);
+    addServers("desk", ending::Reset, 8);
     const fleet_daemon& daemon = start("a1", "a");
     for (size_t i = 0; i < endsThatCondemn; ++i)
         EXPECT_EQ(send(daemon, "POST", "/o/x", "crash"), 502);
@@ -137,10 +141,19 @@
     EXPECT_EQ(ends(), endsThatCondemn);
 }
 
+// Pattern: the network breaks connections; the servers behind them are well.
+TEST_F(CrashingRequestTest, ARequestWhoseConnectionsBreakIsNotTakenForOneThatEndsServers)
+{
+    addServers("desk", ending::None, 4);
+    const fleet_daemon& daemon = start("a1", "a");
+    for (int i = 0; i < 6; ++i)
+        EXPECT_EQ(send(daemon, "POST", "/o/x", "crash"), 502) << i;
+}
+
 // Guards against BUDGET: servers that fell silent under a request were not counted, so that it was sent on and on.
 TEST_F(CrashingRequestTest, ServersThatFallSilentUnderARequestCountAsEnded)
 {
-    addServers("advice", server_end::Silent, 12);
+    addServers("advice", ending::Silent, 12);
     const std::vector<fleet_daemon*> daemons { &start("a1", "a"), &start("b1", "b") };
     while (ends() < endsThatCondemn)
         send(*daemons[0], "POST", "/s/x", "crash");
