Count servers that fall silent under a request as ended

Callers: a request under which servers lost power, or hung for good, was sent to one server after the other; nothing counted it.

Cause: only a connection that broke was looked at. A server that falls silent was found by the probe of silence_watch, or never where the request may not be repeated, and neither told crash_watch.

Change: an attempt that a probe finds unreachable, and one that reaches its deadline without a first byte, are suspected ends like a broken connection. Where the address is silent too, the server's entry decides: gone, or with a later start, it ended.

ServersThatFallSilentUnderAnOrderCountAsEnded: without the change of the deadline the fourth order goes out (504 where 503 is wanted).

--- a/apps/pollenrouted/platform_relay.h
+++ b/apps/pollenrouted/platform_relay.h
@@ -2,6 +2,7 @@
 
 #include <adapter/platform_protocol.h>
 #include <adapter/platform_store.h>
+#include <http/connection_probe.h>
 #include <peer/tcp_state_exchange.h>
 #include <relay/relay_gateway.h>
 #include <relay/view_sharing.h>
--- a/libs/http/include/http/connection_probe.h
+++ b/libs/http/include/http/connection_probe.h
@@ -1,9 +1,7 @@
 #pragma once
 
-#include <base/clock.h>
-#include <base/endpoint.h>
-#include <functional>
 #include <http/event_loop.h>
+#include <http/reachability_probe.h>
 #include <map>
 #include <memory>
 #include <vector>
@@ -12,27 +10,16 @@
 
 namespace pollen {
 
-// What a connection attempt shows of an address.
-enum class probe_result {
-    Accepted,
-    // The instance answers, and nothing listens there.
-    Refused,
-    // No answer: the instance is down, or the network between is cut.
-    Silent,
-};
-
 // Finds out whether an address accepts connections, without sending anything over them.
-class connection_probe {
+class connection_probe final : public reachability_probe {
 public:
-    using callback = std::function<void(probe_result result)>;
-
     explicit connection_probe(event_loop& loop);
-    ~connection_probe();
+    ~connection_probe() override;
     connection_probe(const connection_probe&) = delete;
     connection_probe& operator=(const connection_probe&) = delete;
 
-    // Tells within atMost, from the loop. Those who ask about one address at the same time share one connection.
-    void ask(const endpoint& server, duration atMost, callback done);
+    // Those who ask about one address at the same time share one connection.
+    void ask(const endpoint& server, duration atMost, callback done) override;
 
 private:
     struct probe {
--- /dev/null
+++ b/libs/http/include/http/reachability_probe.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <base/clock.h>
+#include <base/endpoint.h>
+#include <functional>
+
+namespace pollen {
+
+// What a connection attempt shows of an address.
+enum class probe_result {
+    Accepted,
+    // The instance answers, and nothing listens there.
+    Refused,
+    // No answer: the instance is down, or the network between is cut.
+    Silent,
+};
+
+// Finds out what becomes of connections to an address.
+class reachability_probe {
+public:
+    virtual ~reachability_probe() = default;
+
+    // Tells within atMost, from the loop.
+    using callback = std::function<void(probe_result result)>;
+    virtual void ask(const endpoint& server, duration atMost, callback done) = 0;
+};
+
+} // namespace pollen
--- a/libs/relay/include/relay/relay_dependencies.h
+++ b/libs/relay/include/relay/relay_dependencies.h
@@ -2,8 +2,8 @@
 
 #include <base/logger.h>
 #include <base/random_source.h>
-#include <http/connection_probe.h>
 #include <http/http_client.h>
+#include <http/reachability_probe.h>
 #include <map>
 #include <relay/answer_pace.h>
 #include <relay/crash_table.h>
@@ -27,7 +27,7 @@
     random_source& random;
     logger& log;
     http_client& client;
-    connection_probe& probe;
+    reachability_probe& probe;
     const relay_protocol& protocol;
     failure_domain_name failureDomain;
     relay_state& state;
--- a/libs/relay/include/relay/server_end_watch.h
+++ b/libs/relay/include/relay/server_end_watch.h
@@ -2,7 +2,7 @@
 
 #include <base/logger.h>
 #include <fleet/fleet_system.h>
-#include <http/connection_probe.h>
+#include <http/reachability_probe.h>
 #include <memory>
 #include <relay/crash_table.h>
 #include <relay/log_budget.h>
@@ -32,7 +32,7 @@
 // lapsed.
 class server_end_watch final : public fleet_system {
 public:
-    server_end_watch(crash_table& table, const relay_state& state, connection_probe& probe, relay_metrics& metrics,
+    server_end_watch(crash_table& table, const relay_state& state, reachability_probe& probe, relay_metrics& metrics,
         log_budget& budget, const clock& time, logger& log);
 
     // Confirms suspicions by the servers' entries, and withdraws ends that they refute.
@@ -73,7 +73,7 @@
 
     crash_table& m_table;
     const relay_state& m_state;
-    connection_probe& m_probe;
+    reachability_probe& m_probe;
     relay_metrics& m_metrics;
     log_budget& m_budget;
     const clock& m_time;
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -384,6 +384,8 @@
         countAnswer(false);
         if (result.refused)
             suspectEnd("connection_lost");
+        else if (timedOut && m_status == 0)
+            suspectEnd("timed_out");
     }
     if (timedOut) {
         countPace();
@@ -403,6 +405,7 @@
     m_body.clear();
     m_run = run_knowledge::MayHaveRun;
     m_runs += m_status == 0 ? 1 : 0;
+    suspectEnd("unreachable");
     tryAgain("server_unreachable", true);
 }
 
--- a/libs/relay/src/server_end_watch.cpp
+++ b/libs/relay/src/server_end_watch.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-server_end_watch::server_end_watch(crash_table& table, const relay_state& state, connection_probe& probe,
+server_end_watch::server_end_watch(crash_table& table, const relay_state& state, reachability_probe& probe,
     relay_metrics& metrics, log_budget& budget, const clock& time, logger& log)
     : m_table(table)
     , m_state(state)
--- a/standins/tests/crashing_request_test.cpp
+++ b/standins/tests/crashing_request_test.cpp
@@ -163,4 +163,16 @@
     EXPECT_EQ(ends(), endsThatCondemn);
 }
 
+// Guards against BUDGET: an order under which servers fell silent ended at its deadline, and no end was counted.
+TEST_F(CrashingRequestTest, ServersThatFallSilentUnderAnOrderCountAsEnded)
+{
+    addServers("desk", ending::Silent, 6);
+    const fleet_daemon& daemon = start("a1", "a");
+    for (size_t i = 0; i < endsThatCondemn; ++i)
+        EXPECT_EQ(send(daemon, "POST", "/o/x", "crash"), 504);
+    wait(stableWindow);
+    EXPECT_EQ(send(daemon, "POST", "/o/x", "crash"), 503);
+    EXPECT_EQ(ends(), endsThatCondemn);
+}
+
 } // namespace pollen
