Let go of open requests before what they depend on is destroyed

Operators: a daemon that reached the end of its grace with requests open read freed memory while it ended, and might have crashed there instead of stopping.

Cause: the callback for a caller's hang-up holds the exchange; the server of the callers hands it to the loop when it goes, so that the exchange was destroyed with the loop, after the table of servers that its destructor writes to.

Change: relay_gateway lets its open exchanges go when it is destroyed.

ADaemonThatEndsWithOpenRequestsLetsGoOfThem is the case.

--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -79,6 +79,14 @@
         });
 }
 
+void relay_exchange::abandon()
+{
+    m_onEnd = nullptr;
+    m_exchange.reset();
+    releaseServer();
+    m_request->setHangUpCallback(nullptr);
+}
+
 bool relay_exchange::isLargestModel() const
 {
     return m_traits.anyModel && m_model > 0 && m_model + 1 == m_admission.route->models.size();
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -33,6 +33,9 @@
     // Looks for silence of the server.
     void tick(time_point now);
 
+    // Lets go of the server and of everything else that the daemon owns; nothing happens any more.
+    void abandon();
+
 private:
     void onHead(int status, const http_headers& headers) override;
     void onData(std::string_view bytes) override;
--- a/libs/relay/src/relay_gateway.cpp
+++ b/libs/relay/src/relay_gateway.cpp
@@ -18,7 +18,12 @@
 {
 }
 
-relay_gateway::~relay_gateway() = default;
+relay_gateway::~relay_gateway()
+{
+    // Connections of callers may keep exchanges longer than what they depend on.
+    for (const auto& exchange : m_open)
+        exchange->abandon();
+}
 
 void relay_gateway::handle(const std::shared_ptr<server_request>& request)
 {
--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -401,4 +401,18 @@
     EXPECT_EQ(send(request("GET", "/r/x")).response.body, "new");
 }
 
+// Guards against a daemon that ended with open requests and used what it had destroyed (shown by AddressSanitizer).
+TEST_F(RelayPathTest, ADaemonThatEndsWithOpenRequestsLetsGoOfThem)
+{
+    backend_standin desk(m_loop, { hangs });
+    list("i-1", "desk", desk);
+    m_store.put("keyed.op", "config", configuration(1));
+    auto daemon = std::make_unique<fleet_daemon>(m_loop, m_log, m_time, m_store, "d2", "a");
+    ASSERT_TRUE(eventually([&] { return daemon->relay().gateway().ready(); }));
+    m_caller.fetch(daemon->address(), request("POST", "/o/x"), {}, [](const exchange_result&, const http_response&) {});
+    ASSERT_TRUE(eventually([&] { return desk.requests().size() == 1; }));
+    daemon.reset();
+    EXPECT_TRUE(eventually([&] { return desk.hungUp == 1; }));
+}
+
 } // namespace pollen
