Judge a new version by its first bytes, and move sessions once it is found good

Cause: evidence was counted when answers ended, and slow ones had not ended when the trial was over; and a version was completed when its time had come unless it had been proved bad, so that missing evidence counted as good.

Change: first bytes are counted apart from ends, against the bound that nineteen of twenty of the old version stay below; one that is overdue counts as slow while it is still awaited. All sessions move once both tests speak for the version; when they are open at three quarters of the time, odds of six to one against it roll it back. The trial's share follows from the exposure that the users allow and the requests seen.

--- a/apps/pollenrouted/platform_relay.h
+++ b/apps/pollenrouted/platform_relay.h
@@ -56,7 +56,7 @@
     log_budget m_logBudget;
     log_budget m_failureLogBudget;
     server_end_watch m_serverEnds;
-    std::map<std::string, double> m_usualLatency;
+    usual_latency m_usualLatency;
     platform_protocol m_protocol;
     relay_dependencies m_shared;
     relay_gateway m_gateway;
--- a/libs/relay/include/relay/relay_dependencies.h
+++ b/libs/relay/include/relay/relay_dependencies.h
@@ -17,6 +17,7 @@
 #include <relay/rollout_system.h>
 #include <relay/server_end_watch.h>
 #include <relay/session_versions.h>
+#include <relay/usual_latency.h>
 
 namespace pollen {
 
@@ -43,8 +44,8 @@
     relay_metrics& metrics;
     log_budget& logBudget;
     log_budget& failureLogBudget;
-    // Usual time to the first byte, by route, in milliseconds; of versions that are not being rolled out.
-    std::map<std::string, double>& usualLatency;
+    // Of first bytes, from versions that are not being rolled out.
+    usual_latency& usualLatency;
 };
 
 } // namespace pollen
--- a/libs/relay/include/relay/rollout.h
+++ b/libs/relay/include/relay/rollout.h
@@ -35,9 +35,11 @@
 
 // Answers of one version's servers.
 struct version_answers {
+    // Answers that have ended.
     uint64_t good = 0;
     uint64_t bad = 0;
-    // Answers that took much longer than the same kind of request takes on average.
+    // First bytes that have come or are overdue, and those of them that took much longer than usual.
+    uint64_t timed = 0;
     uint64_t slow = 0;
 
     uint64_t all() const { return good + bad; }
--- a/libs/relay/include/relay/rollout_system.h
+++ b/libs/relay/include/relay/rollout_system.h
@@ -15,8 +15,14 @@
 // The first of those that read tells the operators.
 class rollout_system final : public fleet_system {
 public:
-    rollout_system(
-        rollout_table& table, fleet_store& store, const instance_id& self, uint64_t incarnation, logger& log);
+    // Requests that a bad version may get before it is rolled back: a share of all that reach its service, and a slack.
+    struct exposure_bound {
+        double share = 0;
+        double slack = 0;
+    };
+
+    rollout_system(rollout_table& table, fleet_store& store, const instance_id& self, uint64_t incarnation,
+        exposure_bound exposure, logger& log);
 
     void tick(time_point now) override;
 
@@ -35,8 +41,10 @@
     // The counts of all daemons, as far as they are known here.
     std::vector<rollout_report> totals(time_point now) const;
 
-    // One answer of a server in a service whose roll-out is running.
-    void countAnswer(const service_name& service, const version_name& version, bool good, bool slow);
+    // One answer of a server in a service whose roll-out is running has ended.
+    void countAnswer(const service_name& service, const version_name& version, bool good);
+    // The first byte of an answer has come, or is overdue, which counts as slow.
+    void countFirstByte(const service_name& service, const version_name& version, bool slow);
     // A request starts or ends on a server of a version that is not the target.
     void addOther(const service_name& service) { ++m_othersRunning[service]; }
     void removeOther(const service_name& service) { --m_othersRunning[service]; }
@@ -50,6 +58,12 @@
 
     bool isLeader(const service_name& service, time_point now) const;
     void beginCounting(const rollout_row& row);
+    // The counts that an answer of the version belongs to; null while no roll-out of the service is running.
+    version_answers* countsOf(const service_name& service, const version_name& version);
+    void condemn(rollout_row& row, const char* reason);
+    // Share of sessions whose requests within the trial use a part of the exposure.
+    double trialShare(const rollout_row& row, time_point now) const;
+    void chooseShare(rollout_row& row, rollout_verdict verdict, time_point now);
     rollout_report groupReport(const rollout_row& row, time_point now) const;
     rollout_report totalReport(const rollout_row& row, time_point now) const;
     void learnAge(const rollout_report& report, time_point now);
@@ -61,6 +75,7 @@
     fleet_store& m_store;
     instance_id m_self;
     uint64_t m_incarnation;
+    exposure_bound m_exposure;
     logger& m_log;
     bool m_reading = true;
     std::map<service_name, version_answers> m_ownTarget;
--- a/libs/relay/include/relay/rollout_table.h
+++ b/libs/relay/include/relay/rollout_table.h
@@ -16,6 +16,10 @@
     rollout_state state = rollout_state::Running;
     // The answers of all daemons show that the new version is bad; it gets nothing more.
     bool condemned = false;
+    // Share of sessions that try the new version; fixed when the trial begins.
+    std::optional<double> trialShare;
+    // When all sessions began to move to the new version.
+    std::optional<time_point> movedAt;
     // Share of sessions that go to the new version, 0 to 1.
     double share = 0;
     version_answers targetAnswers;
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -20,9 +20,8 @@
 // The shortest time that is worth sending a request for.
 constexpr duration shortestSend = std::chrono::milliseconds(5);
 constexpr duration retryAfterFull = std::chrono::milliseconds(400);
-constexpr double usualLatencyWeight = 0.05;
-// An answer is slow when its first byte takes so many times as long as usual.
-constexpr double slowFactor = 3;
+// First bytes that come sooner are not slow, however much sooner others come.
+constexpr duration leastSlow = std::chrono::milliseconds(100);
 constexpr double readMillisecondsPerToken = 1.0 / 16;
 constexpr double baseMilliseconds = 50;
 
@@ -63,6 +62,7 @@
 
 void relay_exchange::tick(time_point now)
 {
+    countOverdue();
     // What may not be sent again gains nothing from knowing.
     if (!m_exchange || m_paused || !m_admission.route->mayRepeat() || !m_silence.isDue(now))
         return;
@@ -149,6 +149,7 @@
     m_answer = {};
     m_status = 0;
     m_discard = false;
+    m_timed = false;
     m_unreadTokens = choice.unreadTokens;
     ++m_attempts;
     m_tried.push_back(choice.server);
@@ -210,6 +211,7 @@
     if (!notRun) {
         m_run = run_knowledge::MayHaveRun;
         ++m_runs;
+        countFirstByte(true);
     }
     const bool failed = status >= firstServerError;
     m_discard = notRun || m_streamStarted || (failed && m_admission.route->mayRepeat() && mayTryAgain());
@@ -339,15 +341,36 @@
     finishAnswer();
 }
 
-void relay_exchange::countAnswer(bool good)
+void relay_exchange::countAnswer(bool good) { m_dependencies.rolloutSystem.countAnswer(m_service, m_version, good); }
+
+// arrived: false when it is overdue.
+void relay_exchange::countFirstByte(bool arrived)
+{
+    if (std::exchange(m_timed, true))
+        return;
+    const bool slow = isSlow();
+    if (arrived && (m_countsAsOther || !m_dependencies.rollouts.find(m_service)))
+        m_dependencies.usualLatency.count({ m_service.text(), m_model }, relativeLatency());
+    m_dependencies.rolloutSystem.countFirstByte(m_service, m_version, slow);
+}
+
+// A first byte that has not come in the time in which it would be slow will be slow; a verdict need not wait for it.
+void relay_exchange::countOverdue()
+{
+    if (!m_timed && m_exchange && m_dependencies.rollouts.find(m_service) && isSlow())
+        countFirstByte(false);
+}
+
+double relay_exchange::relativeLatency() const
+{
+    const double size = baseMilliseconds + m_traits.promptTokens * readMillisecondsPerToken;
+    return toSeconds(m_dependencies.time.now() - m_sent) * 1000 / size;
+}
+
+bool relay_exchange::isSlow() const
 {
-    const double took = toSeconds(m_dependencies.time.now() - m_sent) * 1000;
-    const double normalized = took / (baseMilliseconds + m_traits.promptTokens * readMillisecondsPerToken);
-    double& usual = m_dependencies.usualLatency[m_admission.route->name];
-    const bool slow = usual > 0 && normalized > usual * slowFactor;
-    if (good && (m_countsAsOther || !m_dependencies.rollouts.find(m_service)))
-        usual += (normalized - usual) * (usual > 0 ? usualLatencyWeight : 1);
-    m_dependencies.rolloutSystem.countAnswer(m_service, m_version, good, slow);
+    return m_dependencies.time.now() - m_sent > leastSlow
+        && m_dependencies.usualLatency.isSlow({ m_service.text(), m_model }, relativeLatency());
 }
 
 void relay_exchange::countPace()
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -63,6 +63,12 @@
     void finishAnswer();
     void onBroken(const exchange_result& result);
     void countAnswer(bool good);
+    // arrived: false when it is overdue.
+    void countFirstByte(bool arrived);
+    void countOverdue();
+    // Time since the attempt was sent, against the size of the request.
+    double relativeLatency() const;
+    bool isSlow() const;
     // Takes one repeat out of the daemon's share.
     bool takeRepeat(const service_name& service);
     // The server may have ended while it ran the request. sign: what showed it.
@@ -101,6 +107,8 @@
     uint32_t m_unreadTokens = 0;
     bool m_countsAsOther = false;
     answer_traits m_answer;
+    // The first byte of this attempt has been counted.
+    bool m_timed = false;
     int m_status = 0;
     // The answer of this attempt is not passed on.
     bool m_discard = false;
--- a/libs/relay/src/rollout_system.cpp
+++ b/libs/relay/src/rollout_system.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <relay/rollout_system.h>
 
 namespace pollen {
@@ -8,18 +9,22 @@
 // A daemon that has not reported for so long takes no part.
 constexpr duration reportLifetime = std::chrono::milliseconds(3500);
 constexpr duration publishInterval = std::chrono::milliseconds(500);
-// Share of sessions that try a version before all of them move.
-constexpr double trialShare = 0.2;
+// Part of the exposure that the users allow which a trial uses; the rest is for what is under way at the verdict.
+constexpr double partOfExposure = 0.5;
+constexpr double smallestTrialShare = 0.05;
+constexpr double largestTrialShare = 0.6;
 // Parts of the allowed time. Requests of one session reach several daemons, and none of them knows whether a session
-// began before the roll-out, so all stay on the old version for the first half. What still runs on old servers when
-// all sessions have moved is waited for until the last mark.
+// began before the roll-out, so all stay on the old version for the first half. All move once the version is found
+// good; when it can't be told by the third mark, by what the evidence rather speaks for. What still runs on old servers
+// when all sessions have moved is waited for until the last mark.
 constexpr double trialFrom = 0.5;
-constexpr double movingFrom = 0.65;
+constexpr double movingFrom = 0.6;
+constexpr double decideBy = 0.75;
 constexpr double waitUntil = 0.9;
 
 version_answers sum(const version_answers& left, const version_answers& right)
 {
-    return { left.good + right.good, left.bad + right.bad, left.slow + right.slow };
+    return { left.good + right.good, left.bad + right.bad, left.timed + right.timed, left.slow + right.slow };
 }
 
 // The counts of both under the name of the first.
@@ -33,14 +38,21 @@
     return total;
 }
 
+// Part of the allowed time that has passed.
+double passedShare(const rollout_row& row, time_point now)
+{
+    return toSeconds(now - row.since) / std::max(toSeconds(row.order.allowed), 1.0);
+}
+
 } // namespace
 
-rollout_system::rollout_system(
-    rollout_table& table, fleet_store& store, const instance_id& self, uint64_t incarnation, logger& log)
+rollout_system::rollout_system(rollout_table& table, fleet_store& store, const instance_id& self, uint64_t incarnation,
+    exposure_bound exposure, logger& log)
     : m_table(table)
     , m_store(store)
     , m_self(self)
     , m_incarnation(incarnation)
+    , m_exposure(exposure)
     , m_log(log)
     , m_publishing(std::make_shared<bool>(false))
 {
@@ -127,16 +139,28 @@
     return reports;
 }
 
-void rollout_system::countAnswer(const service_name& service, const version_name& version, bool good, bool slow)
+version_answers* rollout_system::countsOf(const service_name& service, const version_name& version)
 {
     const rollout_row* row = m_table.find(service);
     if (!row || row->state != rollout_state::Running)
-        return;
+        return nullptr;
     beginCounting(*row);
-    version_answers& answers = version == row->order.target ? m_ownTarget[service] : m_ownOthers[service];
-    ++(good ? answers.good : answers.bad);
-    if (slow)
-        ++answers.slow;
+    return version == row->order.target ? &m_ownTarget[service] : &m_ownOthers[service];
+}
+
+void rollout_system::countAnswer(const service_name& service, const version_name& version, bool good)
+{
+    if (version_answers* answers = countsOf(service, version))
+        ++(good ? answers->good : answers->bad);
+}
+
+void rollout_system::countFirstByte(const service_name& service, const version_name& version, bool slow)
+{
+    version_answers* answers = countsOf(service, version);
+    if (!answers)
+        return;
+    ++answers->timed;
+    answers->slow += slow ? 1 : 0;
 }
 
 bool rollout_system::isLeader(const service_name& service, time_point now) const
@@ -186,28 +210,69 @@
 
 void rollout_system::advance(rollout_row& row, time_point now)
 {
-    const double passed = toSeconds(now - row.since) / std::max(toSeconds(row.order.allowed), 1.0);
+    const double passed = passedShare(row, now);
     const rollout_verdict verdict = judgeRollout(row.targetAnswers, row.otherAnswers);
-    if (verdict == rollout_verdict::Bad && !row.condemned) {
-        row.condemned = true;
-        m_log.write(log_level::Warning, "rollout_condemned",
-            { { "service", row.order.service.text() }, { "target", row.order.target.text() },
-                { "bad", row.targetAnswers.bad }, { "slow", row.targetAnswers.slow },
-                { "answers", row.targetAnswers.all() }, { "others_bad", row.otherAnswers.bad },
-                { "others", row.otherAnswers.all() } });
-    }
-    const bool trying = !row.condemned && passed >= trialFrom;
-    row.share = !trying ? 0 : passed < movingFrom ? trialShare : 1;
+    if (verdict == rollout_verdict::Bad && !row.condemned)
+        condemn(row, "evidence");
+    if (!row.condemned && !row.movedAt && passed >= decideBy && seemsBad(row.targetAnswers, row.otherAnswers))
+        condemn(row, "no time to see more");
+    chooseShare(row, verdict, now);
     if (row.condemned)
         publish(row, rollout_state::RolledBack, now);
-    else if (passed >= movingFrom && reportedSince(row, now) && (row.othersRunning == 0 || passed >= waitUntil))
+    else if (row.movedAt && reportedSince(row, now) && (row.othersRunning == 0 || passed >= waitUntil))
         publish(row, rollout_state::Complete, now);
 }
 
+void rollout_system::condemn(rollout_row& row, const char* reason)
+{
+    row.condemned = true;
+    m_log.write(log_level::Warning, "rollout_condemned",
+        { { "service", row.order.service.text() }, { "target", row.order.target.text() }, { "reason", reason },
+            { "bad", row.targetAnswers.bad }, { "answers", row.targetAnswers.all() },
+            { "slow", row.targetAnswers.slow }, { "timed", row.targetAnswers.timed },
+            { "others_bad", row.otherAnswers.bad }, { "others", row.otherAnswers.all() },
+            { "others_slow", row.otherAnswers.slow }, { "others_timed", row.otherAnswers.timed } });
+}
+
+void rollout_system::chooseShare(rollout_row& row, rollout_verdict verdict, time_point now)
+{
+    const double passed = passedShare(row, now);
+    row.share = 0;
+    if (row.condemned || passed < trialFrom)
+        return;
+    if (!row.trialShare)
+        row.trialShare = trialShare(row, now);
+    row.share = *row.trialShare;
+    const bool foundGood = verdict == rollout_verdict::Good && passed >= movingFrom;
+    if (!row.movedAt && !foundGood && passed < decideBy)
+        return;
+    if (!row.movedAt) {
+        row.movedAt = now;
+        m_log.write(log_level::Info, "rollout_moving",
+            { { "service", row.order.service.text() }, { "target", row.order.target.text() },
+                { "verdict", toText(verdict) }, { "bad", row.targetAnswers.bad },
+                { "answers", row.targetAnswers.all() }, { "slow", row.targetAnswers.slow },
+                { "timed", row.targetAnswers.timed } });
+    }
+    row.share = 1;
+}
+
+double rollout_system::trialShare(const rollout_row& row, time_point now) const
+{
+    const double seconds = std::max(toSeconds(now - row.since), 1.0);
+    const double requestsPerSecond = static_cast<double>(row.otherAnswers.timed) / seconds;
+    const double allowedSeconds = toSeconds(row.order.allowed);
+    const double exposure = m_exposure.share * requestsPerSecond * allowedSeconds * decideBy + m_exposure.slack;
+    const double trialRequests = requestsPerSecond * allowedSeconds * (decideBy - trialFrom);
+    if (trialRequests <= 0)
+        return smallestTrialShare;
+    return std::clamp(exposure * partOfExposure / trialRequests, smallestTrialShare, largestTrialShare);
+}
+
 // Every daemon has had the time to move its sessions and to report what still runs on old servers.
 bool rollout_system::reportedSince(const rollout_row& row, time_point now)
 {
-    return toSeconds(now - row.since) >= toSeconds(row.order.allowed) * movingFrom + toSeconds(reportInterval) * 2;
+    return now - *row.movedAt >= reportInterval * 2;
 }
 
 void rollout_system::publish(const rollout_row& row, rollout_state state, time_point now)
--- a/libs/relay/src/view_message.cpp
+++ b/libs/relay/src/view_message.cpp
@@ -31,7 +31,7 @@
 
 template <typename Archive> void serialize(Archive& archive, version_answers& answers)
 {
-    archive(answers.good, answers.bad, answers.slow);
+    archive(answers.good, answers.bad, answers.timed, answers.slow);
 }
 
 template <typename Archive> void serialize(Archive& archive, rollout_report& report)
--- a/libs/relay/tests/relay_values_test.cpp
+++ b/libs/relay/tests/relay_values_test.cpp
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <random>
 #include <relay/answer_pace.h>
 #include <relay/attempt_history.h>
 #include <relay/escalation_control.h>
@@ -7,6 +8,7 @@
 #include <relay/relay_state.h>
 #include <relay/session_versions.h>
 #include <relay/silence_watch.h>
+#include <relay/usual_latency.h>
 
 namespace pollen {
 
@@ -249,4 +251,29 @@
     EXPECT_EQ(budget.dropped(), 10000U - static_cast<unsigned>(lines));
 }
 
+// Pattern: latencies vary by a factor of ten; half of the answers of another version take eight times as long.
+TEST(UsualLatency, FindsTheBoundThatFewAnswersPass)
+{
+    std::mt19937 random(1);
+    std::lognormal_distribution<double> usual(0, 0.6);
+    std::bernoulli_distribution half(0.5);
+    const usual_latency::kind kind { "route", 0 };
+    const usual_latency::kind other { "route", 1 };
+    usual_latency latencies;
+    EXPECT_FALSE(latencies.isSlow(kind, 1000)) << "nothing is known";
+    for (int i = 0; i < 500; ++i)
+        latencies.count(kind, usual(random));
+    int slowUsual = 0;
+    int slowOther = 0;
+    for (int i = 0; i < 1000; ++i) {
+        const double latency = usual(random);
+        slowUsual += latencies.isSlow(kind, latency) ? 1 : 0;
+        slowOther += latencies.isSlow(kind, latency * (half(random) ? 8 : 1)) ? 1 : 0;
+        latencies.count(kind, latency);
+    }
+    EXPECT_LT(slowUsual, 100);
+    EXPECT_GT(slowOther, 350);
+    EXPECT_FALSE(latencies.isSlow(other, 1000)) << "models are kept apart";
+}
+
 } // namespace pollen
--- a/libs/relay/tests/rollout_test.cpp
+++ b/libs/relay/tests/rollout_test.cpp
@@ -15,7 +15,7 @@
 // One daemon and its view of a roll-out.
 struct daemon_view {
     explicit daemon_view(const char* id)
-        : system(table, store, instance_id(id), 1, log)
+        : system(table, store, instance_id(id), 1, { 0.15, 30 }, log)
     {
     }
 
@@ -26,8 +26,10 @@
 
     void answers(const version_name& version, int good, int bad)
     {
-        for (int i = 0; i < good + bad; ++i)
-            system.countAnswer(service, version, i < good, false);
+        for (int i = 0; i < good + bad; ++i) {
+            system.countAnswer(service, version, i < good);
+            system.countFirstByte(service, version, false);
+        }
     }
     // Ticks through a span in steps of the daemon's own.
     void run(duration from, duration until)
@@ -55,15 +57,17 @@
     };
     const std::vector<evidence> cases {
         { "nothing seen", {}, {}, rollout_verdict::Open },
-        { "two failures", { 0, 2, 0 }, { 100, 0, 0 }, rollout_verdict::Open },
-        { "half fail", { 6, 6, 0 }, { 100, 0, 0 }, rollout_verdict::Bad },
-        { "all fail", { 0, 5, 0 }, { 100, 0, 0 }, rollout_verdict::Bad },
-        { "a third fails", { 20, 10, 0 }, { 100, 0, 0 }, rollout_verdict::Bad },
-        { "all well", { 40, 0, 0 }, { 100, 0, 0 }, rollout_verdict::Good },
-        { "as bad as the others", { 34, 6, 0 }, { 85, 15, 0 }, rollout_verdict::Good },
-        { "most are slow", { 10, 0, 8 }, { 100, 0, 2 }, rollout_verdict::Bad },
-        { "as slow as the others", { 40, 0, 4 }, { 90, 0, 10 }, rollout_verdict::Good },
-        { "few, all well", { 5, 0, 0 }, { 100, 0, 0 }, rollout_verdict::Open },
+        { "two failures", { 0, 2, 2, 0 }, { 100, 0, 100, 0 }, rollout_verdict::Open },
+        { "half fail", { 6, 6, 12, 0 }, { 100, 0, 100, 0 }, rollout_verdict::Bad },
+        { "all fail", { 0, 5, 5, 0 }, { 100, 0, 100, 0 }, rollout_verdict::Bad },
+        { "a third fails", { 20, 10, 30, 0 }, { 100, 0, 100, 0 }, rollout_verdict::Bad },
+        { "all well", { 40, 0, 40, 0 }, { 100, 0, 100, 0 }, rollout_verdict::Good },
+        { "as bad as the others", { 34, 6, 40, 0 }, { 85, 15, 100, 0 }, rollout_verdict::Good },
+        { "most are slow", { 10, 0, 10, 8 }, { 100, 0, 100, 2 }, rollout_verdict::Bad },
+        { "as slow as the others", { 40, 0, 40, 4 }, { 90, 0, 100, 10 }, rollout_verdict::Good },
+        { "slow ones that have not ended", { 0, 0, 9, 8 }, { 100, 0, 100, 2 }, rollout_verdict::Bad },
+        { "well begun, none ended", { 0, 0, 40, 0 }, { 100, 0, 100, 0 }, rollout_verdict::Open },
+        { "few, all well", { 5, 0, 5, 0 }, { 100, 0, 100, 0 }, rollout_verdict::Open },
     };
     for (const evidence& seen : cases)
         EXPECT_EQ(judgeRollout(seen.target, seen.others), seen.verdict) << seen.what;
@@ -107,8 +111,8 @@
     daemon.answers(target, 1, 2);
     daemon.run(std::chrono::seconds(0), std::chrono::seconds(2));
     EXPECT_FALSE(daemon.row().condemned);
-    daemon.system.hear(reportOf("c", std::chrono::seconds(2), { 1, 3, 0 }), start + std::chrono::seconds(2));
-    daemon.system.hear(reportOf("d", std::chrono::seconds(2), { 0, 2, 0 }), start + std::chrono::seconds(2));
+    daemon.system.hear(reportOf("c", std::chrono::seconds(2), { 1, 3, 4, 0 }), start + std::chrono::seconds(2));
+    daemon.system.hear(reportOf("d", std::chrono::seconds(2), { 0, 2, 2, 0 }), start + std::chrono::seconds(2));
     daemon.run(std::chrono::seconds(2), std::chrono::milliseconds(2100));
     EXPECT_TRUE(daemon.row().condemned);
     EXPECT_EQ(daemon.row().share, 0);
@@ -151,7 +155,7 @@
 {
     daemon_view daemon("z");
     daemon.table.order({ service, target, allowed }, start);
-    daemon.system.hear(reportOf("a", std::chrono::seconds(12), { 30, 0, 0 }), start + std::chrono::seconds(1));
+    daemon.system.hear(reportOf("a", std::chrono::seconds(12), { 30, 0, 30, 0 }), start + std::chrono::seconds(1));
     daemon.run(std::chrono::seconds(1), std::chrono::milliseconds(1100));
     EXPECT_GT(daemon.row().share, 0);
 }
@@ -173,7 +177,7 @@
     reader.system.hearMember(member.system.ownReports(now)[0], now);
     reader.system.tick(now);
     ASSERT_EQ(reader.store.reports.size(), 1U);
-    EXPECT_EQ(reader.store.reports[0].targetAnswers, (version_answers { 1, 9, 0 }));
+    EXPECT_EQ(reader.store.reports[0].targetAnswers, (version_answers { 1, 9, 10, 0 }));
     EXPECT_TRUE(reader.row().condemned);
     member.system.hearTotal(reader.system.totals(now)[0], now);
     member.system.tick(now);
@@ -191,4 +195,51 @@
     EXPECT_EQ(daemon.row().state, rollout_state::Running) << "another target is another roll-out";
 }
 
+// Guards against EXPOSURE: a version that answered several times slower was completed, since none of its slow answers
+// had ended when the trial was over.
+TEST(RolloutSystem, AVersionWhoseFirstBytesAreOverdueIsRolledBackDuringItsTrial)
+{
+    daemon_view daemon("a");
+    daemon.table.order({ service, target, allowed }, start);
+    daemon.answers(version_name("v1"), 100, 0);
+    daemon.run(std::chrono::seconds(0), std::chrono::seconds(11));
+    for (int i = 0; i < 8; ++i)
+        daemon.system.countFirstByte(service, target, i % 2 == 0);
+    daemon.run(std::chrono::seconds(11), std::chrono::milliseconds(11100));
+    for (int i = 0; i < 8; ++i)
+        daemon.system.countFirstByte(service, target, i % 2 == 0);
+    daemon.run(std::chrono::milliseconds(11100), std::chrono::seconds(12));
+    EXPECT_TRUE(daemon.row().condemned);
+    ASSERT_EQ(daemon.store.published.size(), 1U);
+    EXPECT_EQ(daemon.store.published[0].state, rollout_state::RolledBack);
+}
+
+// Pattern: a service with little traffic; the trial ends with a few answers.
+TEST(RolloutSystem, WithoutEnoughAnswersTheEvidenceThatThereIsDecides)
+{
+    struct trial {
+        const char* what;
+        int good;
+        int bad;
+        rollout_state state;
+    };
+    const std::vector<trial> cases {
+        { "nothing seen", 0, 0, rollout_state::Complete },
+        { "three well", 3, 0, rollout_state::Complete },
+        { "two of five bad", 3, 2, rollout_state::RolledBack },
+        { "one of one bad", 0, 1, rollout_state::RolledBack },
+    };
+    for (const trial& given : cases) {
+        daemon_view daemon("a");
+        daemon.table.order({ service, target, allowed }, start);
+        daemon.answers(version_name("v1"), 100, 0);
+        daemon.run(std::chrono::seconds(0), std::chrono::seconds(11));
+        daemon.answers(target, given.good, given.bad);
+        daemon.run(std::chrono::seconds(11), std::chrono::seconds(14));
+        EXPECT_LT(daemon.row().share, 1) << given.what << ": sessions stay until it is decided";
+        daemon.run(std::chrono::seconds(14), std::chrono::seconds(19));
+        EXPECT_EQ(daemon.row().state, given.state) << given.what;
+    }
+}
+
 } // namespace pollen
--- a/libs/relay/tests/view_sharing_test.cpp
+++ b/libs/relay/tests/view_sharing_test.cpp
@@ -74,7 +74,7 @@
 struct test_daemon {
     test_daemon(fake_network& network, const clock& time, const std::string& id, const char* domain, uint16_t port)
         : listed { instance_id(id), failure_domain_name(domain), { "127.0.0.1", port } }
-        , rollouts(table, store, listed.id, 1, log)
+        , rollouts(table, store, listed.id, 1, { 0.15, 30 }, log)
         , crashTable(listed.id)
         , crashes(crashTable, store, time, log)
         , exchange(network, listed.address)
@@ -222,7 +222,7 @@
 TEST(ViewMessage, ReadsWhatItHasWrittenAndRefusesTheRest)
 {
     const rollout_report report { instance_id("d"), 7, service_name("s"), version_name("v"), std::chrono::seconds(3),
-        { 1, 2, 3 }, { 4, 5, 6 }, 7 };
+        { 1, 2, 3, 4 }, { 5, 6, 7, 8 }, 9 };
     const view_request request { { 1, 2 }, instance_id("d"), { report }, { { instance_id("e"), 3, 17000 } },
         { { { 5, instance_id("d") }, 2, { { instance_id("e"), 1796354559998 } }, 1796354559000 } } };
     EXPECT_EQ(decodeViewRequest(encodeViewRequest(request)), request);
--- a/standins/tests/relay_fixture.h
+++ b/standins/tests/relay_fixture.h
@@ -121,6 +121,9 @@
 inline constexpr double repeatShare = 0.9;
 inline constexpr double repeatSlack = 58;
 inline constexpr duration repeatWindow = std::chrono::seconds(10);
+// And what it allows a bad version.
+inline constexpr double exposureShare = 0.15;
+inline constexpr double exposureSlack = 30;
 
 // One daemon of a fleet with the port for its callers.
 class fleet_daemon {
@@ -130,7 +133,7 @@
         : m_settings { instance_id(id), failure_domain_name(failureDomain), { "127.0.0.1", 0 }, { "127.0.0.1", 0 },
             store.address(), { "127.0.0.1", freePort(loop) }, std::chrono::seconds(2), std::chrono::milliseconds(300),
             std::chrono::seconds(8), std::chrono::milliseconds(5000), std::chrono::seconds(5), repeatShare, repeatSlack,
-            repeatWindow }
+            repeatWindow, exposureShare, exposureSlack }
         , m_relay(loop, m_settings, log, time)
         , m_front(loop, { "127.0.0.1", 0 }, {},
               [this](const std::shared_ptr<server_request>& message) { m_relay.gateway().handle(message); })
--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -60,7 +60,7 @@
     node_settings m_settings { instance_id("d1"), failure_domain_name("a"), { "127.0.0.1", 0 }, { "127.0.0.1", 0 },
         m_store.address(), { "127.0.0.1", 0 }, std::chrono::seconds(2), std::chrono::milliseconds(300),
         std::chrono::seconds(8), std::chrono::milliseconds(1500), std::chrono::seconds(5), repeatShare, repeatSlack,
-        repeatWindow };
+        repeatWindow, exposureShare, exposureSlack };
     platform_relay m_relay { m_loop, m_settings, m_log, m_time };
     http_server m_front { m_loop, { "127.0.0.1", 0 }, {},
         [this](const std::shared_ptr<server_request>& message) { m_relay.gateway().handle(message); } };
@@ -401,6 +401,27 @@
     EXPECT_EQ(send(request("GET", "/r/x")).response.body, "new");
 }
 
+// Guards against EXPOSURE: a version whose answers had not come yet when the trial was over was completed and kept.
+TEST_F(RelayPathTest, AVersionWhoseAnswersDoNotComeIsRolledBackAndNotCompleted)
+{
+    backend_standin oldDesk(m_loop, { answers(200, "old") });
+    backend_standin newDesk(m_loop, { hangs });
+    list("i-1", "desk", oldDesk);
+    list("i-2", "desk", newDesk, "ready", "v2");
+    start();
+    int sent = 0;
+    timer caller(m_loop, [&] {
+        http_request read = request("GET", "/r/x", { { "Session", "s" + std::to_string(++sent) } });
+        m_caller.fetch(m_front.address(), read, {}, [](const exchange_result&, const http_response&) {});
+    });
+    caller.startRepeating(std::chrono::milliseconds(20));
+    m_store.put("keyed.op", "rollout/desk", R"({"service":"desk","target":"v2","duration-s":4})");
+    ASSERT_TRUE(eventually([&] { return m_store.newest("keyed.status", "rollout/desk").has_value(); }));
+    EXPECT_NE(m_store.newest("keyed.status", "rollout/desk")->find("rolled_back"), std::string::npos);
+    // A share of 0.15 of what is sent within the four seconds is what the users allow.
+    EXPECT_LT(newDesk.requests().size(), 30U);
+}
+
 // Guards against a daemon that ended with open requests and used what it had destroyed (shown by AddressSanitizer).
 TEST_F(RelayPathTest, ADaemonThatEndsWithOpenRequestsLetsGoOfThem)
 {
