Give up answers without end before they fill the memory

Cause: interim responses and responses to other requests were read for as long as they came, and an answer was kept up to 64 MB, where the smallest instance has 88 MB in all; what is not passed on was read to its end.

Change: 16 responses and 1 MB of their bodies are passed over before the one that is waited for. The relay cuts a buffered answer at 4 MB, an event at 256 kB, what it discards at 64 kB, and holds 16 MB of answers in all; a cut answer counts as a failure of its server and is repeated where the request may be, and one that said it had not run is believed at once.

--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -13,6 +13,8 @@
 constexpr duration storeAgeMargin = std::chrono::milliseconds(1000);
 // The platform's settings hold no secret that only daemons know; the tag of a frame only shows that it is whole.
 constexpr const char* peerSecret = "pollenroute";
+// Within the 32 MB that the users give a daemon for control; the smallest instance of today has 88 MB.
+constexpr size_t answerMemoryBytes = 16U << 20;
 constexpr double logLinesPerSecond = 10;
 constexpr double failureLogLinesPerSecond = 50;
 
@@ -50,12 +52,13 @@
     , m_sessions(settings.sessionIdle)
     , m_servers(m_random)
     , m_repeats({ settings.retryShare, settings.retrySlack, settings.retryWindow })
+    , m_answerMemory(answerMemoryBytes)
     , m_logBudget(logLinesPerSecond)
     , m_failureLogBudget(failureLogLinesPerSecond)
     , m_serverEnds(m_crashes, m_state, m_probe, m_metrics, m_failureLogBudget, time, log)
     , m_shared { loop, time, m_random, log, m_client, m_probe, m_protocol, settings.failureDomain, m_state, m_rollouts,
         m_rolloutSystem, m_sessions, m_servers, m_crashes, m_serverEnds, m_escalation, m_largestPace, m_repeats,
-        m_metrics, m_logBudget, m_failureLogBudget, m_usualLatency }
+        m_answerMemory, m_metrics, m_logBudget, m_failureLogBudget, m_usualLatency }
     , m_gateway(m_shared)
 {
 }
--- a/apps/pollenrouted/platform_relay.h
+++ b/apps/pollenrouted/platform_relay.h
@@ -52,6 +52,7 @@
     escalation_control m_escalation;
     answer_pace m_largestPace;
     repeat_allowance m_repeats;
+    memory_budget m_answerMemory;
     relay_metrics m_metrics;
     log_budget m_logBudget;
     log_budget m_failureLogBudget;
--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -17,6 +17,9 @@
 // The parser's own limit for bodies is out of reach: each exchange counts its body against its own limit.
 constexpr size_t unlimitedBodyBytes = size_t { 1 } << 40;
 constexpr int firstFinalStatus = 200;
+// Interim responses and late responses to other requests that are read before the one that is waited for.
+constexpr size_t mostPassedOver = 16;
+constexpr size_t mostPassedOverBytes = 1U << 20;
 
 // The time for which the server keeps an idle connection, by its Keep-Alive header; none without one.
 std::optional<duration> keptOpenFor(const http_headers& headers)
@@ -72,6 +75,8 @@
 {
     m_exchange = &events;
     m_bytesSent = 0;
+    m_passedOver = 0;
+    m_passedOverBytes = 0;
     m_echoHeader = options.echoHeader;
     m_echoValue = options.echoValue;
     m_noBody = request.method == "HEAD";
@@ -179,6 +184,8 @@
             return;
         }
         if (m_skipping || m_parser->status() < firstFinalStatus) {
+            if (!passOver())
+                return;
             startParser();
             continue;
         }
@@ -188,6 +195,14 @@
     }
 }
 
+bool client_connection::passOver()
+{
+    if (++m_passedOver <= mostPassedOver)
+        return true;
+    fail(exchange_failure::MalformedResponse, false);
+    return false;
+}
+
 void client_connection::onMessageHead()
 {
     if (m_parser->status() < firstFinalStatus)
@@ -206,8 +221,13 @@
 
 void client_connection::onMessageBody(std::string_view bytes)
 {
-    if (!m_skipping && m_exchange)
+    if (!m_skipping && m_exchange) {
         m_exchange->onBody(bytes);
+        return;
+    }
+    m_passedOverBytes += bytes.size();
+    if (m_passedOverBytes > mostPassedOverBytes)
+        fail(exchange_failure::MalformedResponse, false);
 }
 
 } // namespace pollen
--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -52,6 +52,8 @@
     void onEvent(short what);
     void fail(exchange_failure failure, bool refused);
     void process();
+    // False when more came before the response than is worth reading.
+    bool passOver();
     void onMessageHead() override;
     void onMessageBody(std::string_view bytes) override;
 
@@ -73,6 +75,9 @@
     // The response being read answers another request.
     bool m_skipping = false;
     bool m_everSkipped = false;
+    // Responses before the one that answers the running exchange, and the bytes of their bodies.
+    size_t m_passedOver = 0;
+    size_t m_passedOverBytes = 0;
 };
 
 } // namespace pollen
--- a/libs/relay/include/relay/relay_dependencies.h
+++ b/libs/relay/include/relay/relay_dependencies.h
@@ -9,6 +9,7 @@
 #include <relay/crash_table.h>
 #include <relay/escalation_control.h>
 #include <relay/log_budget.h>
+#include <relay/memory_budget.h>
 #include <relay/placement.h>
 #include <relay/relay_metrics.h>
 #include <relay/relay_protocol.h>
@@ -41,6 +42,8 @@
     escalation_control& escalation;
     answer_pace& largestPace;
     repeat_allowance& repeats;
+    // For answers that are passed on as a whole.
+    memory_budget& answerMemory;
     relay_metrics& metrics;
     log_budget& logBudget;
     log_budget& failureLogBudget;
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -19,6 +19,11 @@
 constexpr size_t streamBufferBytes = 256U << 10;
 // The shortest time that is worth sending a request for.
 constexpr duration shortestSend = std::chrono::milliseconds(5);
+// Bytes of an answer that is passed on as a whole, of an event that is not complete, and of an answer that is not
+// passed on.
+constexpr size_t largestAnswer = 4U << 20;
+constexpr size_t largestEvent = 256U << 10;
+constexpr size_t largestDiscarded = 64U << 10;
 constexpr duration retryAfterFull = std::chrono::milliseconds(400);
 // First bytes that come sooner are not slow, however much sooner others come.
 constexpr duration leastSlow = std::chrono::milliseconds(100);
@@ -45,7 +50,11 @@
 {
 }
 
-relay_exchange::~relay_exchange() { releaseServer(); }
+relay_exchange::~relay_exchange()
+{
+    releaseServer();
+    dropBody();
+}
 
 void relay_exchange::start(std::function<void()> onEnd)
 {
@@ -84,6 +93,7 @@
     m_onEnd = nullptr;
     m_exchange.reset();
     releaseServer();
+    dropBody();
     m_request->setHangUpCallback(nullptr);
 }
 
@@ -149,6 +159,7 @@
     m_answer = {};
     m_status = 0;
     m_discard = false;
+    m_discarded = 0;
     m_timed = false;
     m_unreadTokens = choice.unreadTokens;
     ++m_attempts;
@@ -283,17 +294,52 @@
 void relay_exchange::onData(std::string_view bytes)
 {
     m_silence.hear(m_dependencies.time.now());
-    if (m_discard)
+    if (m_discard) {
+        m_discarded += bytes.size();
+        if (m_discarded > largestDiscarded)
+            cutAnswer();
         return;
+    }
     if (!isStreamAnswer()) {
-        m_body += bytes;
+        if (m_body.size() + bytes.size() > largestAnswer || !m_dependencies.answerMemory.take(bytes.size()))
+            cutAnswer();
+        else
+            m_body += bytes;
         return;
     }
     const std::string events = m_events.take(bytes);
+    if (m_events.rest().size() > largestEvent) {
+        cutAnswer();
+        return;
+    }
     if (!events.empty())
         passEvents(events);
 }
 
+// What has been read says enough, or more than the daemon can hold.
+void relay_exchange::cutAnswer()
+{
+    const auto self = shared_from_this();
+    m_exchange.reset();
+    const bool notRun = m_answer.notRun || m_answer.otherInstance;
+    if (!notRun) {
+        m_dependencies.state.servers().reportFailure(*m_server, m_dependencies.time.now());
+        countAnswer(false);
+    }
+    releaseServer();
+    m_events.dropRest();
+    dropBody();
+    tryAgain(notRun ? "not_run" : "answer_too_large", true);
+}
+
+void relay_exchange::dropBody()
+{
+    if (m_body.empty())
+        return;
+    m_dependencies.answerMemory.release(m_body.size());
+    m_body.clear();
+}
+
 void relay_exchange::passEvents(const std::string& events)
 {
     if (!m_streamStarted) {
@@ -408,7 +454,7 @@
         servers.reportFailure(*m_server, now);
     releaseServer();
     m_events.dropRest();
-    m_body.clear();
+    dropBody();
     if (result.failure != exchange_failure::ConnectFailed) {
         m_run = run_knowledge::MayHaveRun;
         m_runs += result.responseStarted ? 0 : 1;
@@ -433,7 +479,7 @@
     m_dependencies.state.servers().reportUnreachable(*m_server, m_dependencies.time.now());
     releaseServer();
     m_events.dropRest();
-    m_body.clear();
+    dropBody();
     m_run = run_knowledge::MayHaveRun;
     m_runs += m_status == 0 ? 1 : 0;
     suspectEnd("unreachable");
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -59,6 +59,8 @@
     void fallBack();
     // arrived: the attempt reached a server.
     void tryAgain(const char* reason, bool arrived);
+    void cutAnswer();
+    void dropBody();
     void passEvents(const std::string& events);
     void finishAnswer();
     void onBroken(const exchange_result& result);
@@ -112,6 +114,7 @@
     int m_status = 0;
     // The answer of this attempt is not passed on.
     bool m_discard = false;
+    size_t m_discarded = 0;
 
     // Index of the model that answers, among those of the route.
     size_t m_model = 0;
--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -436,4 +436,49 @@
     EXPECT_TRUE(eventually([&] { return desk.hungUp == 1; }));
 }
 
+// Guards against an answer without end, which filled the daemon's memory until the platform killed it.
+TEST_F(RelayPathTest, AnAnswerWithoutEndIsGivenUpBeforeItFillsTheMemory)
+{
+    struct endless {
+        const char* what;
+        const char* method;
+        const char* path;
+        int status;
+        std::string repeated;
+    };
+    const std::vector<endless> cases {
+        { "a plain answer", "GET", "/r/x", 200, std::string(64 << 10, 'x') },
+        { "a stream without an event's end", "POST", "/s/x", 200, "data: " + std::string(64 << 10, 'x') },
+        { "a failure that is not passed on", "GET", "/r/x", 500, std::string(64 << 10, 'x') },
+        { "an answer that says it has not run", "POST", "/o/x", 503, std::string(64 << 10, 'x') },
+    };
+    // An instance of the users has 88 MB; a request may be tried six times.
+    constexpr size_t mostBytes = 64U << 20;
+    int server = 0;
+    start();
+    for (const endless& given : cases) {
+        size_t sent = 0;
+        std::function<void(const std::shared_ptr<server_request>&)> goOn;
+        goOn = [&](const std::shared_ptr<server_request>& request) {
+            sent += given.repeated.size();
+            request->sendPart(given.repeated);
+            request->callWhenSent([&goOn, request] { goOn(request); });
+        };
+        backend_standin one(m_loop, { [&](const std::shared_ptr<server_request>& request) {
+            const http_headers notRun { { "Pollenroute-Not-Executed", "1" } };
+            request->startStream(given.status, answerHeaders(*request, given.status == 503 ? notRun : http_headers {}));
+            goOn(request);
+        } });
+        const std::string id = "i-" + std::to_string(++server);
+        list(id.c_str(), given.path[1] == 's' ? "advice" : "desk", one);
+        ASSERT_TRUE(eventually([&] { return m_relay.state().servers().find(instance_id(id)).has_value(); }));
+        const auto [result, response] = send(request(given.method, given.path));
+        EXPECT_NE(response.status, 200) << given.what;
+        EXPECT_LT(response.body.size(), 1024U) << given.what;
+        EXPECT_LE(sent, mostBytes) << given.what;
+        m_store.put("keyed.servers", id, std::nullopt);
+        ASSERT_TRUE(eventually([&] { return !m_relay.state().servers().find(instance_id(id)).has_value(); }));
+    }
+}
+
 } // namespace pollen
