Drop from the store the crash reports that daemons forget for want of room

Operators: after very many server ends the daemons' topic would have kept reports for ever, read again by every daemon that starts.

Cause: found on reading the change again. Beyond 2,048 requests a daemon forgot the oldest without telling the store, and only what a daemon remembers is ever dropped there.

Change: the oldest beyond that number count as outdated, so that they are dropped from the store first and forgotten then.

Evidence: WhatIsForgottenForWantOfRoomIsDroppedFromTheStoreFirst: 0 of 952 reports dropped before, 952 now, the oldest.

--- a/libs/policy/include/policy/retry_budget.h
+++ b/libs/policy/include/policy/retry_budget.h
@@ -7,7 +7,7 @@
 // Bounds retries to a share of the requests, so that retries cannot amplify an overload.
 class retry_budget {
 public:
-    // share: retries allowed for each request. reserve: retries that may be saved up; all of them at the start.
+    // share: retries allowed for each request. reserve: retries that may be saved up.
     retry_budget(double share, double reserve)
         : m_share(share)
         , m_reserve(reserve)
--- a/libs/relay/include/relay/crash_table.h
+++ b/libs/relay/include/relay/crash_table.h
@@ -46,7 +46,7 @@
     // Those of them that are this daemon's own.
     std::vector<crash_report> ownUnstored() const;
 
-    // Stored reports that no longer matter.
+    // Stored reports that no longer matter, or that there is no room for; at most a batch.
     std::vector<crash_report_key> outdated(int64_t now) const;
 
     // Requests that have been quarantined since the last call.
@@ -73,7 +73,9 @@
     static std::vector<server_end> countedEnds(const entry& request);
     static int64_t lastEvent(const entry& request);
     static bool isQuarantined(const entry& request, int64_t now);
-    static bool isOutdated(const entry& request, int64_t now);
+    // Time of the last event of the oldest request that there is room for.
+    int64_t oldestKept() const;
+    static bool isOutdated(const entry& request, int64_t now, int64_t oldestKept);
     static bool isKnownToOthers(const entry& request);
     // Adds this daemon's own answer where it explains an end away.
     void applyAnswer(uint64_t fingerprint, entry& request);
--- a/libs/relay/include/relay/fleet_store.h
+++ b/libs/relay/include/relay/fleet_store.h
@@ -39,6 +39,7 @@
 
     // The daemons that have announced themselves, this one included; some may have gone.
     virtual std::vector<listed_peer> daemons() const = 0;
+    // Their number.
     virtual size_t daemonCount() const = 0;
 };
 
--- a/libs/relay/include/relay/relay_dependencies.h
+++ b/libs/relay/include/relay/relay_dependencies.h
@@ -4,7 +4,6 @@
 #include <base/random_source.h>
 #include <http/http_client.h>
 #include <http/reachability_probe.h>
-#include <map>
 #include <relay/answer_pace.h>
 #include <relay/crash_table.h>
 #include <relay/escalation_control.h>
--- a/libs/relay/src/crash_table.cpp
+++ b/libs/relay/src/crash_table.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <relay/crash_table.h>
 
 namespace pollen {
@@ -21,7 +22,7 @@
 constexpr int64_t explainedLifetime = 60000;
 // The last ends that one report names.
 constexpr size_t mostEnds = 8;
-// Requests that are remembered.
+// Requests that are remembered; more are dropped, the oldest first.
 constexpr size_t mostRequests = 2048;
 // Reports in one batch, some 25 kB.
 constexpr size_t batch = 256;
@@ -207,17 +208,32 @@
     return reports;
 }
 
-bool crash_table::isOutdated(const entry& request, int64_t now)
+int64_t crash_table::oldestKept() const
+{
+    if (m_requests.size() <= mostRequests)
+        return std::numeric_limits<int64_t>::min();
+    std::vector<int64_t> events;
+    events.reserve(m_requests.size());
+    for (const auto& [fingerprint, request] : m_requests)
+        events.push_back(lastEvent(request));
+    const auto oldest = events.begin() + static_cast<std::ptrdiff_t>(events.size() - mostRequests);
+    std::nth_element(events.begin(), oldest, events.end());
+    return *oldest;
+}
+
+bool crash_table::isOutdated(const entry& request, int64_t now, int64_t oldestKept)
 {
     const int64_t lifetime = countedEnds(request).empty() ? explainedLifetime : endLifetime;
-    return now - lastEvent(request) >= lifetime;
+    const int64_t last = lastEvent(request);
+    return now - last >= lifetime || last < oldestKept;
 }
 
 std::vector<crash_report_key> crash_table::outdated(int64_t now) const
 {
+    const int64_t oldest = oldestKept();
     std::vector<crash_report_key> keys;
     for (const auto& [fingerprint, request] : m_requests) {
-        if (!isOutdated(request, now))
+        if (!isOutdated(request, now, oldest))
             continue;
         for (const auto& [daemon, row] : request.byDaemon) {
             if (row.stored && keys.size() < batch)
@@ -249,13 +265,9 @@
 {
     std::erase_if(m_answers, [&](const auto& item) { return now - item.second >= answerCovers; });
     // What the store holds is forgotten when it is dropped there.
-    std::erase_if(
-        m_requests, [&](const auto& item) { return isOutdated(item.second, now) && !isKnownToOthers(item.second); });
-    while (m_requests.size() > mostRequests) {
-        const auto oldest = std::min_element(m_requests.begin(), m_requests.end(),
-            [](const auto& left, const auto& right) { return lastEvent(left.second) < lastEvent(right.second); });
-        m_requests.erase(oldest);
-    }
+    const int64_t oldest = oldestKept();
+    std::erase_if(m_requests,
+        [&](const auto& item) { return isOutdated(item.second, now, oldest) && !isKnownToOthers(item.second); });
 }
 
 } // namespace pollen
--- a/libs/relay/tests/crash_table_test.cpp
+++ b/libs/relay/tests/crash_table_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <random>
 #include <relay/crash_sharing.h>
+#include <set>
 
 namespace pollen {
 
@@ -199,6 +200,27 @@
     }
 }
 
+// Pattern: so many servers go down that daemons forget the oldest reports before their time; the store would keep them
+// for ever.
+TEST(CrashTable, WhatIsForgottenForWantOfRoomIsDroppedFromTheStoreFirst)
+{
+    crash_table table(instance_id("d"));
+    constexpr uint64_t requests = 3000;
+    for (uint64_t i = 1; i <= requests; ++i)
+        table.hear({ { i, instance_id("e") }, 1, { { server(0), start + static_cast<int64_t>(i) } }, 0 }, true);
+    std::set<uint64_t> dropped;
+    for (int round = 0; round < 10; ++round) {
+        table.sweep(start + minute);
+        for (const crash_report_key& key : table.outdated(start + minute)) {
+            dropped.insert(key.fingerprint);
+            table.drop(key);
+        }
+    }
+    EXPECT_EQ(dropped.size(), requests - 2048);
+    EXPECT_EQ(*dropped.rbegin(), requests - 2048) << "the oldest go first";
+    EXPECT_EQ(table.countEnds(requests), 1U);
+}
+
 // Pattern: the store turns everything away for some seconds, in which servers end under a request.
 TEST(CrashSharing, StoresWhatIsKnownOnceTheStoreTakesIt)
 {
