Let the test of swallowed reads fail where they are waited for

The test could not fail: its read had been sent before the outage, and the stand-in answers such reads afterwards. It now has the follower send its read within the outage. With restart() doing only what hurry() did, it fails after 2 s; with the code as it is, it passes.

--- a/standins/tests/store_follower_test.cpp
+++ b/standins/tests/store_follower_test.cpp
@@ -101,13 +101,13 @@
     counting_listener listener;
     shared_topic topic(listener);
     keyed_follower patient(m_loop, m_client, "keyed.daemons",
-        { std::chrono::seconds(10), duration(0), false, std::chrono::seconds(1) }, topic, m_random, m_time, m_log);
+        { std::chrono::seconds(10), callTime / 2, false, std::chrono::seconds(1) }, topic, m_random, m_time, m_log);
     patient.setActive(true);
     ASSERT_TRUE(m_loop.runUntil([&] { return topic.known(); }, wait));
-    runFor(callTime);
-    m_store.set("outage", 2);
     m_store.put("keyed.daemons", "a", "1");
-    patient.restart();
+    ASSERT_TRUE(m_loop.runUntil([&] { return listener.keys == 1; }, std::chrono::seconds(2)));
+    // The next read follows after a pause, and comes to nothing.
+    m_store.set("outage", 2);
     runFor(callTime);
     m_store.set("outage", 0);
     m_store.put("keyed.daemons", "b", "1");
