Time first bytes in one place, and give slow ones the time to show

Cause: a first byte that had been overdue did not move the bound when it came, so that the bound sank with every answer; after a roll-out nothing moved it at all. And on a fleet with much traffic the quick answers of the first second were enough for a verdict.

Change: first_byte_timer has what relay_exchange did beside its own work. Overdue first bytes move the bound when they come; the bound is the one that four of five stay below, on purpose now; a version is found good after three seconds of trial at the earliest.

--- a/libs/relay/include/relay/usual_latency.h
+++ b/libs/relay/include/relay/usual_latency.h
@@ -7,7 +7,7 @@
 
 namespace pollen {
 
-// Learns for each kind of request the latency, against its size, that nineteen of twenty stay below.
+// Learns for each kind of request the latency, against its size, that four of five stay below.
 class usual_latency {
 public:
     // By name of the service and index of the model.
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -25,10 +25,6 @@
 constexpr size_t largestEvent = 256U << 10;
 constexpr size_t largestDiscarded = 64U << 10;
 constexpr duration retryAfterFull = std::chrono::milliseconds(400);
-// First bytes that come sooner are not slow, however much sooner others come.
-constexpr duration leastSlow = std::chrono::milliseconds(100);
-constexpr double readMillisecondsPerToken = 1.0 / 16;
-constexpr double baseMilliseconds = 50;
 
 // A larger model that has been asked in vain so often, the first model included, is not asked again.
 constexpr uint32_t attemptsBeforeFallBack = 3;
@@ -47,6 +43,7 @@
     : m_dependencies(dependencies)
     , m_request(std::move(request))
     , m_start(dependencies.time.now())
+    , m_firstByteTimer(dependencies.usualLatency, dependencies.rollouts, dependencies.rolloutSystem)
 {
 }
 
@@ -71,7 +68,7 @@
 
 void relay_exchange::tick(time_point now)
 {
-    countOverdue();
+    m_firstByteTimer.tick(now);
     // What may not be sent again gains nothing from knowing.
     if (!m_exchange || m_paused || !m_admission.route->mayRepeat() || !m_silence.isDue(now))
         return;
@@ -160,7 +157,7 @@
     m_status = 0;
     m_discard = false;
     m_discarded = 0;
-    m_timed = false;
+    m_firstByteTimer.start({ m_service, m_version, m_model, m_traits.promptTokens }, m_sent);
     m_unreadTokens = choice.unreadTokens;
     ++m_attempts;
     m_tried.push_back(choice.server);
@@ -222,7 +219,7 @@
     if (!notRun) {
         m_run = run_knowledge::MayHaveRun;
         ++m_runs;
-        countFirstByte(true);
+        m_firstByteTimer.stop(now);
     }
     const bool failed = status >= firstServerError;
     m_discard = notRun || m_streamStarted || (failed && m_admission.route->mayRepeat() && mayTryAgain());
@@ -389,36 +386,6 @@
 
 void relay_exchange::countAnswer(bool good) { m_dependencies.rolloutSystem.countAnswer(m_service, m_version, good); }
 
-// arrived: false when it is overdue.
-void relay_exchange::countFirstByte(bool arrived)
-{
-    if (std::exchange(m_timed, true))
-        return;
-    const bool slow = isSlow();
-    if (arrived && (m_countsAsOther || !m_dependencies.rollouts.find(m_service)))
-        m_dependencies.usualLatency.count({ m_service.text(), m_model }, relativeLatency());
-    m_dependencies.rolloutSystem.countFirstByte(m_service, m_version, slow);
-}
-
-// A first byte that has not come in the time in which it would be slow will be slow; a verdict need not wait for it.
-void relay_exchange::countOverdue()
-{
-    if (!m_timed && m_exchange && m_dependencies.rollouts.find(m_service) && isSlow())
-        countFirstByte(false);
-}
-
-double relay_exchange::relativeLatency() const
-{
-    const double size = baseMilliseconds + m_traits.promptTokens * readMillisecondsPerToken;
-    return toSeconds(m_dependencies.time.now() - m_sent) * 1000 / size;
-}
-
-bool relay_exchange::isSlow() const
-{
-    return m_dependencies.time.now() - m_sent > leastSlow
-        && m_dependencies.usualLatency.isSlow({ m_service.text(), m_model }, relativeLatency());
-}
-
 void relay_exchange::countPace()
 {
     if (m_streamStarted && isLargestModel())
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <relay/attempt_history.h>
 #include <relay/event_splitter.h>
+#include <relay/first_byte_timer.h>
 #include <relay/relay_dependencies.h>
 #include <relay/silence_watch.h>
 
@@ -65,12 +66,6 @@
     void finishAnswer();
     void onBroken(const exchange_result& result);
     void countAnswer(bool good);
-    // arrived: false when it is overdue.
-    void countFirstByte(bool arrived);
-    void countOverdue();
-    // Time since the attempt was sent, against the size of the request.
-    double relativeLatency() const;
-    bool isSlow() const;
     // Takes one repeat out of the daemon's share.
     bool takeRepeat(const service_name& service);
     // The server may have ended while it ran the request. sign: what showed it.
@@ -109,8 +104,6 @@
     uint32_t m_unreadTokens = 0;
     bool m_countsAsOther = false;
     answer_traits m_answer;
-    // The first byte of this attempt has been counted.
-    bool m_timed = false;
     int m_status = 0;
     // The answer of this attempt is not passed on.
     bool m_discard = false;
@@ -137,6 +130,7 @@
     const char* m_obstacle = "";
     attempt_history m_history;
     silence_watch m_silence;
+    first_byte_timer m_firstByteTimer;
 };
 
 } // namespace pollen
--- a/libs/relay/src/rollout_system.cpp
+++ b/libs/relay/src/rollout_system.cpp
@@ -15,12 +15,14 @@
 constexpr double largestTrialShare = 0.6;
 // Parts of the allowed time. Requests of one session reach several daemons, and none of them knows whether a session
 // began before the roll-out, so all stay on the old version for the first half. All move once the version is found
-// good; when it can't be told by the third mark, by what the evidence rather speaks for. What still runs on old servers
-// when all sessions have moved is waited for until the last mark.
+// good; when it can't be told by the second mark, by what the evidence rather speaks for. What still runs on old
+// servers when all sessions have moved is waited for until the last mark.
 constexpr double trialFrom = 0.5;
-constexpr double movingFrom = 0.6;
 constexpr double decideBy = 0.75;
 constexpr double waitUntil = 0.9;
+// Before, slow answers have not shown yet and quick ones speak for a version alone; the users' longest latency
+// objective.
+constexpr duration leastTrial = std::chrono::seconds(3);
 
 version_answers sum(const version_answers& left, const version_answers& right)
 {
@@ -243,7 +245,8 @@
     if (!row.trialShare)
         row.trialShare = trialShare(row, now);
     row.share = *row.trialShare;
-    const bool foundGood = verdict == rollout_verdict::Good && passed >= movingFrom;
+    const duration sinceTrial = now - row.since - std::chrono::duration_cast<duration>(row.order.allowed * trialFrom);
+    const bool foundGood = verdict == rollout_verdict::Good && sinceTrial >= leastTrial;
     if (!row.movedAt && !foundGood && passed < decideBy)
         return;
     if (!row.movedAt) {
--- a/libs/relay/src/usual_latency.cpp
+++ b/libs/relay/src/usual_latency.cpp
@@ -4,11 +4,11 @@
 
 namespace {
 
-constexpr double shareBeyond = 0.05;
+constexpr double shareBeyond = 0.2;
 // How far one latency moves the bound. The bound rests where those beyond it and those below it balance.
 constexpr double step = 0.1;
 // Where the bound starts, from the first latency of a kind.
-constexpr double firstFactor = 3;
+constexpr double firstFactor = 2;
 
 } // namespace
 
--- a/libs/relay/tests/rollout_test.cpp
+++ b/libs/relay/tests/rollout_test.cpp
@@ -1,6 +1,8 @@
 #include "fake_fleet_store.h"
 
 #include <gtest/gtest.h>
+#include <random>
+#include <relay/first_byte_timer.h>
 #include <relay/rollout_system.h>
 
 namespace pollen {
@@ -242,4 +244,71 @@
     }
 }
 
+// Guards against EXPOSURE: on a fleet with much traffic the quick answers of the first second spoke for a slow version,
+// and all sessions moved to it. Pattern: 280 requests a second; half of the new version's first bytes come after four
+// seconds.
+TEST(RolloutSystem, QuickAnswersOfTheFirstMomentsDoNotSpeakForAVersionAlone)
+{
+    daemon_view daemon("a");
+    daemon.table.order({ service, target, allowed }, start);
+    daemon.answers(version_name("v1"), 2000, 0);
+    daemon.run(std::chrono::seconds(0), std::chrono::seconds(10));
+    daemon.answers(target, 60, 0);
+    daemon.run(std::chrono::seconds(10), std::chrono::seconds(12));
+    EXPECT_LT(daemon.row().share, 1);
+    for (int i = 0; i < 60; ++i)
+        daemon.system.countFirstByte(service, target, true);
+    daemon.run(std::chrono::seconds(12), std::chrono::seconds(14));
+    EXPECT_TRUE(daemon.row().condemned);
+}
+
+// Guards against EXPOSURE: a first byte that had been overdue did not move the bound when it came, so that the bound
+// sank and a fifth of the old version's first bytes counted as slow beside those of a slow version.
+TEST(FirstByteTimer, OverdueFirstBytesMoveTheBoundWhenTheyCome)
+{
+    daemon_view daemon("a");
+    usual_latency usual;
+    first_byte_timer timer(usual, daemon.table, daemon.system);
+    std::mt19937 random(1);
+    std::lognormal_distribution<double> milliseconds(6, 0.6);
+    time_point now = start;
+    const auto serve = [&](const version_name& version, double factor) {
+        timer.start({ service, version, 0, 1000 }, now);
+        const auto took = std::chrono::milliseconds(static_cast<int64_t>(milliseconds(random) * factor));
+        for (duration waited { 0 }; waited < took; waited += std::chrono::milliseconds(50))
+            timer.tick(now + waited);
+        now += took;
+        timer.stop(now);
+    };
+    for (int i = 0; i < 300; ++i)
+        serve(version_name("v1"), 1);
+    daemon.table.order({ service, target, allowed }, now);
+    for (int i = 0; i < 500; ++i) {
+        serve(version_name("v1"), 1);
+        serve(target, i % 2 == 0 ? 8 : 1);
+    }
+    daemon.system.tick(now);
+    EXPECT_EQ(daemon.row().otherAnswers.timed, 500U);
+    EXPECT_EQ(daemon.row().targetAnswers.timed, 500U);
+    EXPECT_LT(daemon.row().otherAnswers.slow, 150U) << "one of five, give or take";
+    EXPECT_GT(daemon.row().targetAnswers.slow, 200U);
+}
+
+TEST(FirstByteTimer, LearnsAgainOnceARolloutIsOver)
+{
+    daemon_view daemon("a");
+    usual_latency usual;
+    first_byte_timer timer(usual, daemon.table, daemon.system);
+    const auto serve = [&](int milliseconds) {
+        timer.start({ service, target, 0, 0 }, start);
+        timer.stop(start + std::chrono::milliseconds(milliseconds));
+    };
+    daemon.table.order({ service, target, allowed }, start);
+    serve(1000);
+    EXPECT_FALSE(usual.isSlow({ service.text(), 0 }, 1000)) << "what is on trial is not what is usual";
+    daemon.table.status({ service, target, rollout_state::Complete });
+    serve(100);
+    EXPECT_TRUE(usual.isSlow({ service.text(), 0 }, 1000));
+}
+
 } // namespace pollen
