--- /dev/null
+++ b/libs/relay/src/answer_buffer.cpp
@@ -0,0 +1,28 @@
+#include <relay/answer_buffer.h>
+
+namespace pollen {
+
+namespace {
+
+// Larger answers are for streams, which are passed on as they come.
+constexpr size_t largestAnswerBytes = 4U << 20;
+
+} // namespace
+
+bool answer_buffer::append(std::string_view bytes)
+{
+    if (m_text.size() + bytes.size() > largestAnswerBytes || !m_budget.take(bytes.size()))
+        return false;
+    m_text += bytes;
+    return true;
+}
+
+void answer_buffer::clear()
+{
+    if (m_text.empty())
+        return;
+    m_budget.release(m_text.size());
+    m_text.clear();
+}
+
+} // namespace pollen
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -19,9 +19,7 @@
 constexpr size_t streamBufferBytes = 256U << 10;
 // The shortest time that is worth sending a request for.
 constexpr duration shortestSend = std::chrono::milliseconds(5);
-// Bytes of an answer that is passed on as a whole, of an event that is not complete, and of an answer that is not
-// passed on.
-constexpr size_t largestAnswer = 4U << 20;
+// Bytes of an event that is not complete, and of an answer that is not passed on.
 constexpr size_t largestEvent = 256U << 10;
 constexpr size_t largestDiscarded = 64U << 10;
 constexpr duration retryAfterFull = std::chrono::milliseconds(400);
@@ -43,15 +41,12 @@
     : m_dependencies(dependencies)
     , m_request(std::move(request))
     , m_start(dependencies.time.now())
+    , m_body(dependencies.answerMemory)
     , m_firstByteTimer(dependencies.usualLatency, dependencies.rollouts, dependencies.rolloutSystem)
 {
 }
 
-relay_exchange::~relay_exchange()
-{
-    releaseServer();
-    dropBody();
-}
+relay_exchange::~relay_exchange() { releaseServer(); }
 
 void relay_exchange::start(std::function<void()> onEnd)
 {
@@ -90,7 +85,7 @@
     m_onEnd = nullptr;
     m_exchange.reset();
     releaseServer();
-    dropBody();
+    m_body.clear();
     m_request->setHangUpCallback(nullptr);
 }
 
@@ -298,10 +293,8 @@
         return;
     }
     if (!isStreamAnswer()) {
-        if (m_body.size() + bytes.size() > largestAnswer || !m_dependencies.answerMemory.take(bytes.size()))
+        if (!m_body.append(bytes))
             cutAnswer();
-        else
-            m_body += bytes;
         return;
     }
     const std::string events = m_events.take(bytes);
@@ -325,16 +318,8 @@
     }
     releaseServer();
     m_events.dropRest();
-    dropBody();
-    tryAgain(notRun ? "not_run" : "answer_too_large", true);
-}
-
-void relay_exchange::dropBody()
-{
-    if (m_body.empty())
-        return;
-    m_dependencies.answerMemory.release(m_body.size());
     m_body.clear();
+    tryAgain(notRun ? "not_run" : "answer_too_large", true);
 }
 
 void relay_exchange::passEvents(const std::string& events)
@@ -402,7 +387,7 @@
     } else {
         m_dependencies.metrics.observeFirstByte(
             m_admission.route->name, teamName(), m_dependencies.time.now() - m_start);
-        m_request->reply(m_status, m_headers, m_body);
+        m_request->reply(m_status, m_headers, m_body.text());
     }
     const bool answered = m_status < firstServerError;
     if (!answered)
@@ -421,7 +406,7 @@
         servers.reportFailure(*m_server, now);
     releaseServer();
     m_events.dropRest();
-    dropBody();
+    m_body.clear();
     if (result.failure != exchange_failure::ConnectFailed) {
         m_run = run_knowledge::MayHaveRun;
         m_runs += result.responseStarted ? 0 : 1;
@@ -446,7 +431,7 @@
     m_dependencies.state.servers().reportUnreachable(*m_server, m_dependencies.time.now());
     releaseServer();
     m_events.dropRest();
-    dropBody();
+    m_body.clear();
     m_run = run_knowledge::MayHaveRun;
     m_runs += m_status == 0 ? 1 : 0;
     suspectEnd("unreachable");
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <http/http_server.h>
 #include <memory>
+#include <relay/answer_buffer.h>
 #include <relay/attempt_history.h>
 #include <relay/event_splitter.h>
 #include <relay/first_byte_timer.h>
@@ -61,7 +62,6 @@
     // arrived: the attempt reached a server.
     void tryAgain(const char* reason, bool arrived);
     void cutAnswer();
-    void dropBody();
     void passEvents(const std::string& events);
     void finishAnswer();
     void onBroken(const exchange_result& result);
@@ -121,7 +121,7 @@
     bool m_anyAnswer = false;
     run_knowledge m_run = run_knowledge::NotRun;
     http_headers m_headers;
-    std::string m_body;
+    answer_buffer m_body;
     event_splitter m_events;
     bool m_streamStarted = false;
     bool m_paused = false;
--- a/libs/relay/tests/relay_values_test.cpp
+++ b/libs/relay/tests/relay_values_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 #include <random>
+#include <relay/answer_buffer.h>
 #include <relay/answer_pace.h>
 #include <relay/attempt_history.h>
 #include <relay/escalation_control.h>
@@ -276,4 +277,26 @@
     EXPECT_FALSE(latencies.isSlow(other, 1000)) << "models are kept apart";
 }
 
+TEST(AnswerBuffer, TakesItsMemoryFromABudgetAndGivesItBack)
+{
+    constexpr size_t megabyte = 1U << 20;
+    memory_budget budget(6 * megabyte);
+    const std::string bytes(megabyte, 'x');
+    answer_buffer one(budget);
+    for (int i = 0; i < 4; ++i)
+        EXPECT_TRUE(one.append(bytes));
+    EXPECT_FALSE(one.append("x")) << "one answer has 4 MB";
+    {
+        answer_buffer other(budget);
+        EXPECT_TRUE(other.append(bytes));
+        EXPECT_TRUE(other.append(bytes));
+        EXPECT_FALSE(other.append("x")) << "all together have 6 MB";
+        EXPECT_EQ(other.text().size(), 2 * megabyte);
+    }
+    EXPECT_EQ(budget.used(), 4 * megabyte);
+    one.clear();
+    EXPECT_EQ(budget.used(), 0U);
+    EXPECT_TRUE(one.append("again"));
+}
+
 } // namespace pollen
