--- a/libs/relay/include/relay/first_byte_timer.h
+++ b/libs/relay/include/relay/first_byte_timer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <relay/rollout_system.h>
 #include <relay/usual_latency.h>
 
@@ -15,12 +16,14 @@
     {
     }
 
-    // An attempt has been sent. model: index among those of the route.
+    // An attempt that has been sent. model: index among those of the route. unreadTokens: prompt tokens that the server
+    // is expected to read.
     struct attempt {
-        service_name service;
-        version_name version;
+        rollout_subject subject;
         size_t model = 0;
-        uint32_t promptTokens = 0;
+        uint32_t unreadTokens = 0;
+        // The server has more to do than usual, so that its first byte says nothing of its version.
+        bool unusual = false;
     };
     void start(const attempt& attempt, time_point now);
 
@@ -32,10 +35,11 @@
     void tick(time_point now);
 
 private:
-    // Time since the attempt was sent, against what its size makes usual.
-    double relativeLatency(time_point now) const;
-    bool isSlow(time_point now) const;
+    usual_latency::kind kind() const { return { m_attempt.subject.service.text(), m_attempt.model }; }
+    latency_grade gradeAt(time_point now) const;
     bool isOnTrial() const;
+    // Counts the attempt, or raises what it has been counted as.
+    void countAs(latency_grade grade);
 
     usual_latency& m_usual;
     const rollout_table& m_table;
@@ -43,7 +47,8 @@
     attempt m_attempt;
     time_point m_sent {};
     bool m_running = false;
-    bool m_counted = false;
+    // As it has been counted; none before.
+    std::optional<latency_grade> m_counted;
 };
 
 } // namespace pollen
--- a/libs/relay/include/relay/placement.h
+++ b/libs/relay/include/relay/placement.h
@@ -17,6 +17,10 @@
     model_name model;
     std::vector<prompt_part> parts;
     uint32_t promptTokens = 0;
+    // Servers that the request may go to; any where there are none.
+    std::vector<server_handle> onlyServers;
+    // The servers are new to the service's requests: none is expected to have read what others have sent.
+    bool onNewServers = false;
     // Servers that have had this request already.
     std::vector<server_handle> excluded;
     failure_domain_name failureDomain;
--- a/libs/relay/include/relay/rollout.h
+++ b/libs/relay/include/relay/rollout.h
@@ -2,7 +2,7 @@
 
 #include <base/clock.h>
 #include <base/typed_id.h>
-#include <compare>
+#include <relay/rollout_evidence.h>
 
 namespace pollen {
 
@@ -33,18 +33,20 @@
     friend bool operator==(const rollout_status&, const rollout_status&) = default;
 };
 
-// Answers of one version's servers.
-struct version_answers {
-    // Answers that have ended.
-    uint64_t good = 0;
-    uint64_t bad = 0;
-    // First bytes that have come or are overdue, and those of them that took much longer than usual.
-    uint64_t timed = 0;
-    uint64_t slow = 0;
+// What an answer says something about.
+struct rollout_subject {
+    service_name service;
+    version_name version;
+    std::string route;
 
-    uint64_t all() const { return good + bad; }
+    friend bool operator==(const rollout_subject&, const rollout_subject&) = default;
+};
 
-    friend bool operator==(const version_answers&, const version_answers&) = default;
+// How long a first byte took, against what is usual.
+enum class latency_grade {
+    Usual,
+    Slow,
+    VerySlow,
 };
 
 // What one daemon has seen of a roll-out so far.
@@ -56,10 +58,11 @@
     version_name target;
     // Time since the daemon first saw the order.
     duration age { 0 };
-    version_answers targetAnswers;
-    version_answers otherAnswers;
+    rollout_evidence evidence;
     // Requests that are running on servers of other versions.
     uint64_t othersRunning = 0;
+    // The daemon, or one that it speaks for, has found the version bad.
+    bool condemned = false;
 
     friend bool operator==(const rollout_report&, const rollout_report&) = default;
 };
--- a/libs/relay/include/relay/rollout_system.h
+++ b/libs/relay/include/relay/rollout_system.h
@@ -5,7 +5,7 @@
 #include <map>
 #include <memory>
 #include <relay/fleet_store.h>
-#include <relay/rollout_table.h>
+#include <relay/rollout_trial.h>
 #include <relay/rollout_verdict.h>
 
 namespace pollen {
@@ -15,12 +15,6 @@
 // The first of those that read tells the operators.
 class rollout_system final : public fleet_system {
 public:
-    // Requests that a bad version may get before it is rolled back: a share of all that reach its service, and a slack.
-    struct exposure_bound {
-        double share = 0;
-        double slack = 0;
-    };
-
     rollout_system(rollout_table& table, fleet_store& store, const instance_id& self, uint64_t incarnation,
         exposure_bound exposure, logger& log);
 
@@ -41,10 +35,14 @@
     // The counts of all daemons, as far as they are known here.
     std::vector<rollout_report> totals(time_point now) const;
 
-    // One answer of a server in a service whose roll-out is running has ended.
-    void countAnswer(const service_name& service, const version_name& version, bool good);
-    // The first byte of an answer has come, or is overdue, which counts as slow.
-    void countFirstByte(const service_name& service, const version_name& version, bool slow);
+    // A request has been sent to a server, in a service whose roll-out may be running.
+    void countSent(const rollout_subject& subject);
+    // One answer of a server has ended.
+    void countAnswer(const rollout_subject& subject, bool good);
+    // The first byte of an answer has come, or is overdue.
+    void countFirstByte(const rollout_subject& subject, latency_grade grade);
+    // A first byte that was counted as slow has become very slow.
+    void raiseToVerySlow(const rollout_subject& subject);
     // A request starts or ends on a server of a version that is not the target.
     void addOther(const service_name& service) { ++m_othersRunning[service]; }
     void removeOther(const service_name& service) { --m_othersRunning[service]; }
@@ -59,15 +57,13 @@
     bool isLeader(const service_name& service, time_point now) const;
     void beginCounting(const rollout_row& row);
     // The counts that an answer of the version belongs to; null while no roll-out of the service is running.
-    version_answers* countsOf(const service_name& service, const version_name& version);
+    version_answers* countsOf(const rollout_subject& subject);
     void condemn(rollout_row& row, const char* reason);
-    // Share of sessions whose requests within the trial use a part of the exposure.
-    double trialShare(const rollout_row& row, time_point now) const;
-    void chooseShare(rollout_row& row, rollout_verdict verdict, time_point now);
+    void move(rollout_row& row, rollout_verdict verdict, time_point now);
     rollout_report groupReport(const rollout_row& row, time_point now) const;
     rollout_report totalReport(const rollout_row& row, time_point now) const;
     void learnAge(const rollout_report& report, time_point now);
-    void advance(rollout_row& row, time_point now);
+    void advance(rollout_row& row, bool condemnedElsewhere, time_point now);
     static bool reportedSince(const rollout_row& row, time_point now);
     void publish(const rollout_row& row, rollout_state state, time_point now);
 
@@ -75,11 +71,10 @@
     fleet_store& m_store;
     instance_id m_self;
     uint64_t m_incarnation;
-    exposure_bound m_exposure;
+    rollout_trial m_trial;
     logger& m_log;
     bool m_reading = true;
-    std::map<service_name, version_answers> m_ownTarget;
-    std::map<service_name, version_answers> m_ownOthers;
+    std::map<service_name, rollout_evidence> m_own;
     std::map<service_name, uint64_t> m_othersRunning;
     std::map<service_name, version_name> m_countedTarget;
     std::map<report_key, heard_report> m_groups;
--- a/libs/relay/include/relay/rollout_table.h
+++ b/libs/relay/include/relay/rollout_table.h
@@ -16,14 +16,24 @@
     rollout_state state = rollout_state::Running;
     // The answers of all daemons show that the new version is bad; it gets nothing more.
     bool condemned = false;
-    // Share of sessions that try the new version; fixed when the trial begins.
+    // Share of sessions that try the new version and the beginning of their trial; fixed from then on.
     std::optional<double> trialShare;
-    // When all sessions began to move to the new version.
+    time_point trialStarted {};
+    // The share from the time on at which the trial loads a few servers; never smaller, as sessions do not return.
+    std::optional<double> loadedShare;
+    // When all requests began to move to the new version.
     std::optional<time_point> movedAt;
     // Share of sessions that go to the new version, 0 to 1.
     double share = 0;
-    version_answers targetAnswers;
-    version_answers otherAnswers;
+    // Requests that belong to no session go to the new version at this moment.
+    bool takesLooseRequests = false;
+    // Requests of the trial go to as few servers of the new version as can carry them, so that these meet the load of a
+    // crest; at other times to all.
+    bool loadsServers = false;
+    // Counts the spans of the trial; each loads other servers.
+    uint64_t trialTurn = 0;
+    rollout_evidence evidence;
+    // Requests running on servers of other versions.
     uint64_t othersRunning = 0;
 };
 
--- a/libs/relay/include/relay/rollout_verdict.h
+++ b/libs/relay/include/relay/rollout_verdict.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <relay/rollout.h>
+#include <relay/rollout_evidence.h>
 
 namespace pollen {
 
@@ -13,11 +13,12 @@
 
 const char* toText(rollout_verdict verdict);
 
-// Judges a new version by its answers against those of the other versions in the same time, with sequential probability
-// ratio tests on the share of bad answers and on that of slow first bytes.
-rollout_verdict judgeRollout(const version_answers& target, const version_answers& others);
+// Judges a new version by its answers against those of the other versions in the same time, on all routes together and
+// on each, with sequential probability ratio tests on the shares of bad answers and of slow first bytes.
+rollout_verdict judgeRollout(const rollout_evidence& evidence);
 
-// Whether what has been seen speaks rather for a bad version, where there is no time to see more.
-bool seemsBad(const version_answers& target, const version_answers& others);
+// Whether what has been seen speaks rather for a bad version, where there is no time to see more. A version that has
+// answered nothing while the others answered plenty counts as bad.
+bool seemsBad(const rollout_evidence& evidence);
 
 } // namespace pollen
--- a/libs/relay/include/relay/usual_latency.h
+++ b/libs/relay/include/relay/usual_latency.h
@@ -1,24 +1,35 @@
 #pragma once
 
+#include <base/clock.h>
 #include <cstddef>
 #include <map>
+#include <relay/rollout.h>
 #include <string>
 #include <utility>
 
 namespace pollen {
 
-// Learns for each kind of request the latency, against its size, that four of five stay below.
+// Learns for each kind of request how long its first byte takes: what a prompt token that has to be read costs, and the
+// latency, against that of its prompt, that four of five stay below.
 class usual_latency {
 public:
     // By name of the service and index of the model.
     using kind = std::pair<std::string, size_t>;
 
-    // relative: latency in milliseconds divided by what the size of the request makes usual.
-    bool isSlow(const kind& kind, double relative) const;
-    void count(const kind& kind, double relative);
+    // unreadTokens: prompt tokens that the server had to read. Usual while nothing is known.
+    latency_grade grade(const kind& kind, duration latency, uint32_t unreadTokens) const;
+    void count(const kind& kind, duration latency, uint32_t unreadTokens);
 
 private:
-    std::map<kind, double> m_bounds;
+    struct estimate {
+        double millisecondsPerToken = 0;
+        // Of the latency divided by what the prompt makes usual.
+        double bound = 0;
+
+        double relative(duration latency, uint32_t unreadTokens) const;
+    };
+
+    std::map<kind, estimate> m_estimates;
 };
 
 } // namespace pollen
--- a/libs/relay/src/first_byte_timer.cpp
+++ b/libs/relay/src/first_byte_timer.cpp
@@ -4,59 +4,53 @@
 
 namespace pollen {
 
-namespace {
-
-// First bytes that come sooner are not slow, however much sooner others come.
-constexpr duration leastSlow = std::chrono::milliseconds(100);
-// What the size of a request makes usual, to compare requests of different sizes by.
-constexpr double readMillisecondsPerToken = 1.0 / 16;
-constexpr double baseMilliseconds = 50;
-
-} // namespace
-
 void first_byte_timer::start(const attempt& attempt, time_point now)
 {
     m_attempt = attempt;
     m_sent = now;
     m_running = true;
-    m_counted = false;
+    m_counted = {};
 }
 
 void first_byte_timer::stop(time_point now)
 {
     if (!std::exchange(m_running, false))
         return;
-    const bool slow = isSlow(now);
+    const latency_grade grade = gradeAt(now);
     if (!isOnTrial())
-        m_usual.count({ m_attempt.service.text(), m_attempt.model }, relativeLatency(now));
-    if (!std::exchange(m_counted, true))
-        m_rollouts.countFirstByte(m_attempt.service, m_attempt.version, slow);
+        m_usual.count(kind(), now - m_sent, m_attempt.unreadTokens);
+    countAs(grade);
 }
 
 void first_byte_timer::tick(time_point now)
 {
-    if (!m_running || m_counted || !isSlow(now))
+    if (!m_running)
         return;
-    m_counted = true;
-    m_rollouts.countFirstByte(m_attempt.service, m_attempt.version, true);
+    const latency_grade grade = gradeAt(now);
+    if (grade != latency_grade::Usual)
+        countAs(grade);
 }
 
-bool first_byte_timer::isOnTrial() const
+void first_byte_timer::countAs(latency_grade grade)
 {
-    const rollout_row* row = m_table.find(m_attempt.service);
-    return row && row->state == rollout_state::Running && row->order.target == m_attempt.version;
+    if (m_attempt.unusual || (m_counted && *m_counted >= grade))
+        return;
+    if (m_counted)
+        m_rollouts.raiseToVerySlow(m_attempt.subject);
+    else
+        m_rollouts.countFirstByte(m_attempt.subject, grade);
+    m_counted = grade;
 }
 
-double first_byte_timer::relativeLatency(time_point now) const
+bool first_byte_timer::isOnTrial() const
 {
-    const double size = baseMilliseconds + m_attempt.promptTokens * readMillisecondsPerToken;
-    return toSeconds(now - m_sent) * 1000 / size;
+    const rollout_row* row = m_table.find(m_attempt.subject.service);
+    return row && row->state == rollout_state::Running && row->order.target == m_attempt.subject.version;
 }
 
-bool first_byte_timer::isSlow(time_point now) const
+latency_grade first_byte_timer::gradeAt(time_point now) const
 {
-    return now - m_sent > leastSlow
-        && m_usual.isSlow({ m_attempt.service.text(), m_attempt.model }, relativeLatency(now));
+    return m_usual.grade(kind(), now - m_sent, m_attempt.unreadTokens);
 }
 
 } // namespace pollen
--- a/libs/relay/src/placement.cpp
+++ b/libs/relay/src/placement.cpp
@@ -61,7 +61,10 @@
 {
     if (!row.used || row.leaving || !fits(row, request))
         return false;
-    return std::find(request.excluded.begin(), request.excluded.end(), server) == request.excluded.end();
+    const auto contains = [&](const std::vector<server_handle>& servers) {
+        return std::find(servers.begin(), servers.end(), server) != servers.end();
+    };
+    return !contains(request.excluded) && (request.onlyServers.empty() || contains(request.onlyServers));
 }
 
 std::vector<server_handle> placement::homesOf(
@@ -109,7 +112,7 @@
         double cost;
     };
     std::vector<candidate> candidates;
-    const std::vector<server_handle> homes = request.parts.empty() || !service.engine
+    const std::vector<server_handle> homes = request.parts.empty() || !service.engine || request.onNewServers
         ? std::vector<server_handle>()
         : homesOf(sharedPart(request.parts), request, servers);
     for (uint32_t index = 0; index < servers.rows().size(); ++index) {
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -121,6 +121,7 @@
     if (!choice && !placement.onlyVersion.empty()) {
         // The new version has no server that takes work yet, or no longer.
         placement.onlyVersion = {};
+        placement.onlyServers.clear();
         choice = m_dependencies.servers.choose(placement, servers, *service, now);
     }
     if (!choice && !m_tried.empty()) {
@@ -152,7 +153,9 @@
     m_status = 0;
     m_discard = false;
     m_discarded = 0;
-    m_firstByteTimer.start({ m_service, m_version, m_model, m_traits.promptTokens }, m_sent);
+    m_underTrialLoad = !placement.onlyServers.empty() && !placement.parts.empty();
+    m_dependencies.rolloutSystem.countSent(subject());
+    m_firstByteTimer.start({ subject(), m_model, choice.unreadTokens, m_underTrialLoad || isMoving() }, m_sent);
     m_unreadTokens = choice.unreadTokens;
     ++m_attempts;
     m_tried.push_back(choice.server);
@@ -369,7 +372,24 @@
     finishAnswer();
 }
 
-void relay_exchange::countAnswer(bool good) { m_dependencies.rolloutSystem.countAnswer(m_service, m_version, good); }
+bool relay_exchange::isMoving() const
+{
+    const rollout_row* rollout = m_dependencies.rollouts.find(m_service);
+    return rollout && rollout->movedAt;
+}
+
+rollout_subject relay_exchange::subject() const
+{
+    return { m_service, m_version, m_underTrialLoad ? rollout_evidence::underLoad : m_admission.route->name };
+}
+
+// A request that has failed once often fails wherever it is sent again; only its first answer says something of a
+// version.
+void relay_exchange::countAnswer(bool good)
+{
+    if (!std::exchange(m_failed, m_failed || !good))
+        m_dependencies.rolloutSystem.countAnswer(subject(), good);
+}
 
 void relay_exchange::countPace()
 {
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -66,6 +66,9 @@
     void finishAnswer();
     void onBroken(const exchange_result& result);
     void countAnswer(bool good);
+    // All requests of the service are moving to another version: for a while, many first bytes are late for that alone.
+    bool isMoving() const;
+    rollout_subject subject() const;
     // Takes one repeat out of the daemon's share.
     bool takeRepeat(const service_name& service);
     // The server may have ended while it ran the request. sign: what showed it.
@@ -103,6 +106,8 @@
     time_point m_sent {};
     uint32_t m_unreadTokens = 0;
     bool m_countsAsOther = false;
+    // The attempt is part of the load that a trial puts on a few engines.
+    bool m_underTrialLoad = false;
     answer_traits m_answer;
     int m_status = 0;
     // The answer of this attempt is not passed on.
@@ -112,6 +117,8 @@
     // Index of the model that answers, among those of the route.
     size_t m_model = 0;
     std::vector<server_handle> m_tried;
+    // A server has failed the request.
+    bool m_failed = false;
     uint32_t m_attempts = 0;
     // Attempts that have or may have run; only these count against what the route allows.
     uint32_t m_runs = 0;
--- a/libs/relay/src/request_target.cpp
+++ b/libs/relay/src/request_target.cpp
@@ -2,10 +2,26 @@
 
 #include "request_hash.h"
 
+#include <relay/trial_servers.h>
+
 namespace pollen {
 
 namespace {
 
+// Requests with the same session, or without one with the same prompt, belong together.
+bool hasSession(const request_traits& traits) { return !traits.session.empty() || !traits.parts.empty(); }
+
+bool triesTarget(
+    const relay_dependencies& dependencies, const request_traits& traits, const rollout_row& row, time_point start)
+{
+    if (!hasSession(traits))
+        return row.takesLooseRequests;
+    const uint64_t session = sessionKey(traits);
+    const auto last = dependencies.sessions.find(session, start);
+    const double point = pointOf(hashOf({ reinterpret_cast<const char*>(&session), sizeof session }));
+    return point < row.share || (last && *last == row.order.target);
+}
+
 void chooseVersion(
     const relay_dependencies& dependencies, const request_traits& traits, time_point start, placement_request& request)
 {
@@ -27,11 +43,14 @@
         request.notVersion = target;
         return;
     }
-    const uint64_t session = sessionKey(traits);
-    const auto last = dependencies.sessions.find(session, start);
-    const double point = pointOf(hashOf({ reinterpret_cast<const char*>(&session), sizeof session }));
-    const bool onTarget = point < row->share || (last && *last == target);
-    (onTarget ? request.onlyVersion : request.notVersion) = target;
+    if (!triesTarget(dependencies, traits, *row, start)) {
+        request.notVersion = target;
+        return;
+    }
+    request.onlyVersion = target;
+    request.onNewServers = row->loadsServers;
+    if (row->loadsServers)
+        request.onlyServers = trialServers(dependencies.state.servers(), request.service, *row, start);
 }
 
 } // namespace
--- a/libs/relay/src/rollout_system.cpp
+++ b/libs/relay/src/rollout_system.cpp
@@ -9,43 +9,22 @@
 // A daemon that has not reported for so long takes no part.
 constexpr duration reportLifetime = std::chrono::milliseconds(3500);
 constexpr duration publishInterval = std::chrono::milliseconds(500);
-// Part of the exposure that the users allow which a trial uses; the rest is for what is under way at the verdict.
-constexpr double partOfExposure = 0.5;
-constexpr double smallestTrialShare = 0.05;
-constexpr double largestTrialShare = 0.6;
-// Parts of the allowed time. Requests of one session reach several daemons, and none of them knows whether a session
-// began before the roll-out, so all stay on the old version for the first half. All move once the version is found
-// good; when it can't be told by the second mark, by what the evidence rather speaks for. What still runs on old
-// servers when all sessions have moved is waited for until the last mark.
-constexpr double trialFrom = 0.5;
-constexpr double decideBy = 0.75;
-constexpr double waitUntil = 0.9;
-// Before, slow answers have not shown yet and quick ones speak for a version alone; the users' longest latency
-// objective.
-constexpr duration leastTrial = std::chrono::seconds(3);
-
-version_answers sum(const version_answers& left, const version_answers& right)
-{
-    return { left.good + right.good, left.bad + right.bad, left.timed + right.timed, left.slow + right.slow };
-}
+// Part of the allowed time until which what still runs on old servers is waited for.
+constexpr double waitUntil = 0.92;
+// Every daemon has had the time to move its sessions and to report what still runs on old servers.
+constexpr duration movingTime = std::chrono::milliseconds(1200);
 
 // The counts of both under the name of the first.
 rollout_report sum(const rollout_report& left, const rollout_report& right)
 {
     rollout_report total = left;
     total.age = std::max(left.age, right.age);
-    total.targetAnswers = sum(left.targetAnswers, right.targetAnswers);
-    total.otherAnswers = sum(left.otherAnswers, right.otherAnswers);
+    total.evidence += right.evidence;
     total.othersRunning += right.othersRunning;
+    total.condemned = total.condemned || right.condemned;
     return total;
 }
 
-// Part of the allowed time that has passed.
-double passedShare(const rollout_row& row, time_point now)
-{
-    return toSeconds(now - row.since) / std::max(toSeconds(row.order.allowed), 1.0);
-}
-
 } // namespace
 
 rollout_system::rollout_system(rollout_table& table, fleet_store& store, const instance_id& self, uint64_t incarnation,
@@ -54,7 +33,7 @@
     , m_store(store)
     , m_self(self)
     , m_incarnation(incarnation)
-    , m_exposure(exposure)
+    , m_trial(exposure)
     , m_log(log)
     , m_publishing(std::make_shared<bool>(false))
 {
@@ -72,10 +51,9 @@
         if (reportNow)
             m_store.publishReport(groupReport(row, now));
         const rollout_report total = totalReport(row, now);
-        row.targetAnswers = total.targetAnswers;
-        row.otherAnswers = total.otherAnswers;
+        row.evidence = total.evidence;
         row.othersRunning = total.othersRunning;
-        advance(row, now);
+        advance(row, total.condemned, now);
     }
     if (reportNow && anyRunning)
         m_nextReport = now + reportInterval;
@@ -89,8 +67,7 @@
     if (m_countedTarget[service] == row.order.target)
         return;
     m_countedTarget[service] = row.order.target;
-    m_ownTarget[service] = {};
-    m_ownOthers[service] = {};
+    m_own[service] = {};
     m_log.write(log_level::Info, "rollout_seen",
         { { "service", service.text() }, { "target", row.order.target.text() },
             { "allowed_ms", toMilliseconds(row.order.allowed) } });
@@ -141,28 +118,42 @@
     return reports;
 }
 
-version_answers* rollout_system::countsOf(const service_name& service, const version_name& version)
+version_answers* rollout_system::countsOf(const rollout_subject& subject)
 {
-    const rollout_row* row = m_table.find(service);
+    const rollout_row* row = m_table.find(subject.service);
     if (!row || row->state != rollout_state::Running)
         return nullptr;
     beginCounting(*row);
-    return version == row->order.target ? &m_ownTarget[service] : &m_ownOthers[service];
+    route_answers& answers = m_own[subject.service].at(subject.route);
+    return subject.version == row->order.target ? &answers.target : &answers.others;
 }
 
-void rollout_system::countAnswer(const service_name& service, const version_name& version, bool good)
+void rollout_system::countSent(const rollout_subject& subject)
 {
-    if (version_answers* answers = countsOf(service, version))
+    if (version_answers* answers = countsOf(subject))
+        ++answers->sent;
+}
+
+void rollout_system::countAnswer(const rollout_subject& subject, bool good)
+{
+    if (version_answers* answers = countsOf(subject))
         ++(good ? answers->good : answers->bad);
 }
 
-void rollout_system::countFirstByte(const service_name& service, const version_name& version, bool slow)
+void rollout_system::countFirstByte(const rollout_subject& subject, latency_grade grade)
 {
-    version_answers* answers = countsOf(service, version);
+    version_answers* answers = countsOf(subject);
     if (!answers)
         return;
     ++answers->timed;
-    answers->slow += slow ? 1 : 0;
+    answers->slow += grade >= latency_grade::Slow ? 1 : 0;
+    answers->verySlow += grade == latency_grade::VerySlow ? 1 : 0;
+}
+
+void rollout_system::raiseToVerySlow(const rollout_subject& subject)
+{
+    if (version_answers* answers = countsOf(subject))
+        ++answers->verySlow;
 }
 
 bool rollout_system::isLeader(const service_name& service, time_point now) const
@@ -179,12 +170,10 @@
 rollout_report rollout_system::groupReport(const rollout_row& row, time_point now) const
 {
     const service_name& service = row.order.service;
-    rollout_report report { m_self, m_incarnation, service, row.order.target, now - row.since, {}, {}, 0 };
+    rollout_report report { m_self, m_incarnation, service, row.order.target, now - row.since, {}, 0, row.condemned };
     const auto counted = m_countedTarget.find(service);
-    if (counted != m_countedTarget.end() && counted->second == row.order.target) {
-        report.targetAnswers = m_ownTarget.at(service);
-        report.otherAnswers = m_ownOthers.at(service);
-    }
+    if (counted != m_countedTarget.end() && counted->second == row.order.target)
+        report.evidence = m_own.at(service);
     const auto running = m_othersRunning.find(service);
     report.othersRunning = running == m_othersRunning.end() ? 0 : running->second;
     for (const auto& [key, heard] : m_members) {
@@ -210,72 +199,44 @@
     return report;
 }
 
-void rollout_system::advance(rollout_row& row, time_point now)
+void rollout_system::advance(rollout_row& row, bool condemnedElsewhere, time_point now)
 {
     const double passed = passedShare(row, now);
-    const rollout_verdict verdict = judgeRollout(row.targetAnswers, row.otherAnswers);
+    const rollout_verdict verdict = judgeRollout(row.evidence);
+    const bool trialOver = m_trial.isOver(row, now);
     if (verdict == rollout_verdict::Bad && !row.condemned)
         condemn(row, "evidence");
-    if (!row.condemned && !row.movedAt && passed >= decideBy && seemsBad(row.targetAnswers, row.otherAnswers))
+    // Daemons see the same evidence at different times; what one has found holds for all.
+    if (condemnedElsewhere && !row.condemned)
+        condemn(row, "found by another daemon");
+    if (!row.condemned && !row.movedAt && trialOver && seemsBad(row.evidence))
         condemn(row, "no time to see more");
-    chooseShare(row, verdict, now);
+    m_trial.advance(row, now);
+    const bool foundGood = verdict == rollout_verdict::Good && rollout_trial::mayEnd(row, now);
+    if (!row.condemned && !row.movedAt && (foundGood || trialOver))
+        move(row, verdict, now);
     if (row.condemned)
         publish(row, rollout_state::RolledBack, now);
-    else if (row.movedAt && reportedSince(row, now) && (row.othersRunning == 0 || passed >= waitUntil))
+    else if (row.movedAt && now - *row.movedAt >= movingTime && (row.othersRunning == 0 || passed >= waitUntil))
         publish(row, rollout_state::Complete, now);
 }
 
 void rollout_system::condemn(rollout_row& row, const char* reason)
 {
     row.condemned = true;
+    m_nextReport = {};
     m_log.write(log_level::Warning, "rollout_condemned",
         { { "service", row.order.service.text() }, { "target", row.order.target.text() }, { "reason", reason },
-            { "bad", row.targetAnswers.bad }, { "answers", row.targetAnswers.all() },
-            { "slow", row.targetAnswers.slow }, { "timed", row.targetAnswers.timed },
-            { "others_bad", row.otherAnswers.bad }, { "others", row.otherAnswers.all() },
-            { "others_slow", row.otherAnswers.slow }, { "others_timed", row.otherAnswers.timed } });
-}
-
-void rollout_system::chooseShare(rollout_row& row, rollout_verdict verdict, time_point now)
-{
-    const double passed = passedShare(row, now);
-    row.share = 0;
-    if (row.condemned || passed < trialFrom)
-        return;
-    if (!row.trialShare)
-        row.trialShare = trialShare(row, now);
-    row.share = *row.trialShare;
-    const duration sinceTrial = now - row.since - std::chrono::duration_cast<duration>(row.order.allowed * trialFrom);
-    const bool foundGood = verdict == rollout_verdict::Good && sinceTrial >= leastTrial;
-    if (!row.movedAt && !foundGood && passed < decideBy)
-        return;
-    if (!row.movedAt) {
-        row.movedAt = now;
-        m_log.write(log_level::Info, "rollout_moving",
-            { { "service", row.order.service.text() }, { "target", row.order.target.text() },
-                { "verdict", toText(verdict) }, { "bad", row.targetAnswers.bad },
-                { "answers", row.targetAnswers.all() }, { "slow", row.targetAnswers.slow },
-                { "timed", row.targetAnswers.timed } });
-    }
-    row.share = 1;
-}
-
-double rollout_system::trialShare(const rollout_row& row, time_point now) const
-{
-    const double seconds = std::max(toSeconds(now - row.since), 1.0);
-    const double requestsPerSecond = static_cast<double>(row.otherAnswers.timed) / seconds;
-    const double allowedSeconds = toSeconds(row.order.allowed);
-    const double exposure = m_exposure.share * requestsPerSecond * allowedSeconds * decideBy + m_exposure.slack;
-    const double trialRequests = requestsPerSecond * allowedSeconds * (decideBy - trialFrom);
-    if (trialRequests <= 0)
-        return smallestTrialShare;
-    return std::clamp(exposure * partOfExposure / trialRequests, smallestTrialShare, largestTrialShare);
+            { "evidence", toText(row.evidence) } });
 }
 
-// Every daemon has had the time to move its sessions and to report what still runs on old servers.
-bool rollout_system::reportedSince(const rollout_row& row, time_point now)
+void rollout_system::move(rollout_row& row, rollout_verdict verdict, time_point now)
 {
-    return now - *row.movedAt >= reportInterval * 2;
+    row.movedAt = now;
+    m_log.write(log_level::Info, "rollout_moving",
+        { { "service", row.order.service.text() }, { "target", row.order.target.text() },
+            { "verdict", toText(verdict) }, { "evidence", toText(row.evidence) } });
+    m_trial.advance(row, now);
 }
 
 void rollout_system::publish(const rollout_row& row, rollout_state state, time_point now)
@@ -288,8 +249,7 @@
     m_log.write(log_level::Info, "rollout_state_published",
         { { "service", status.service.text() }, { "target", status.target.text() },
             { "state", state == rollout_state::Complete ? "complete" : "rolled_back" },
-            { "bad", row.targetAnswers.bad }, { "answers", row.targetAnswers.all() },
-            { "others_running", row.othersRunning } });
+            { "evidence", toText(row.evidence) }, { "others_running", row.othersRunning } });
     m_store.publishRollout(status, [this, publishing = std::weak_ptr(m_publishing), status](bool stored) {
         const auto alive = publishing.lock();
         if (!alive)
--- a/libs/relay/src/rollout_verdict.cpp
+++ b/libs/relay/src/rollout_verdict.cpp
@@ -1,7 +1,10 @@
 #include <relay/rollout_verdict.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <limits>
+#include <optional>
 
 namespace pollen {
 
@@ -13,39 +16,99 @@
 const double goodThreshold = -std::log(20);
 // Natural logarithm of the odds at which a version is taken for bad when there is no time to see more: most versions
 // are good, and some answers are bad by chance.
-const double leaningThreshold = std::log(6);
+const double leaningThreshold = std::log(2);
+const double routeLeaningThreshold = std::log(8);
+// Natural logarithm of the odds at which one route no longer stands against a version that is good on the whole: less
+// is asked of each route than of all together, as most have few answers.
+const double routeGoodThreshold = -std::log(3);
+// Routes with a smaller part of the service's requests are judged good with the whole.
+constexpr double leastPartOfRoute = 0.1;
 // How much larger than that of the other versions a share may be in a good version, and is at least in a bad one.
 struct margins {
     double tolerated;
     double bad;
 };
 constexpr margins failureMargins { 0.02, 0.22 };
-// Servers of a new version have nothing of earlier prompts in memory, so that some of their first bytes are late.
-constexpr margins slownessMargins { 0.08, 0.3 };
+// Servers on trial have nothing of earlier prompts in memory and carry more than their share, so that some of their
+// first bytes are late; few of them are several times as late.
+constexpr margins slownessMargins { 0.2, 0.45 };
+constexpr margins extremeSlownessMargins { 0.04, 0.24 };
 constexpr double largestShare = 0.95;
 
-// Log-likelihood ratio of "bad" against "good" after so many hits out of so many trials.
-double evidence(double hits, double trials, double othersShare, const margins& margins)
-{
-    const double usual = std::min(othersShare, largestShare - margins.bad);
-    const double good = usual + margins.tolerated;
-    const double bad = usual + margins.bad;
-    return hits * std::log(bad / good) + (trials - hits) * std::log((1 - bad) / (1 - good));
-}
+// Fewer answers of the other versions on a route do not show what is usual there.
+constexpr uint64_t fewAnswers = 5;
+// With so many answers of the others, a trial had the requests to get some answer.
+constexpr uint64_t enoughForATrial = 20;
+
+// What is counted of answers: how many there were, and how many of them hit.
+struct tally {
+    uint64_t hits = 0;
+    uint64_t trials = 0;
+
+    double share() const { return trials == 0 ? 0 : static_cast<double>(hits) / static_cast<double>(trials); }
+};
 
-double shareOf(uint64_t hits, uint64_t trials)
+// One way in which a version can be bad.
+struct symptom {
+    tally (*count)(const version_answers&);
+    margins bounds;
+};
+const std::array<symptom, 3> symptoms { {
+    { [](const version_answers& answers) {
+         return tally { answers.bad, answers.all() };
+     },
+        failureMargins },
+    { [](const version_answers& answers) {
+         return tally { answers.slow, answers.timed };
+     },
+        slownessMargins },
+    { [](const version_answers& answers) {
+         return tally { answers.verySlow, answers.timed };
+     },
+        extremeSlownessMargins },
+} };
+
+// Log-likelihood ratio of "bad" against "good" by one symptom on one route. None where nearly all answers of the other
+// versions have the symptom.
+std::optional<double> evidenceOf(const symptom& symptom, const route_answers& row, const version_answers& allOthers)
 {
-    return trials == 0 ? 0 : static_cast<double>(hits) / static_cast<double>(trials);
+    const tally seen = symptom.count(row.target);
+    const tally others = symptom.count(row.others);
+    const double usual = others.trials < fewAnswers ? symptom.count(allOthers).share() : others.share();
+    if (usual + symptom.bounds.bad > largestShare)
+        return std::nullopt;
+    const double good = usual + symptom.bounds.tolerated;
+    const double bad = usual + symptom.bounds.bad;
+    return static_cast<double>(seen.hits) * std::log(bad / good)
+        + static_cast<double>(seen.trials - seen.hits) * std::log((1 - bad) / (1 - good));
 }
 
-// The stronger of the evidence by failures and by slow first bytes.
-double worstEvidence(const version_answers& target, const version_answers& others)
+// The strongest evidence by any symptom, of all routes together and of any one that carries enough of the service's
+// requests. Each route is compared with itself, so that it does not matter which routes the trial meets more often.
+struct strongest_evidence {
+    double whole = -std::numeric_limits<double>::infinity();
+    double route = -std::numeric_limits<double>::infinity();
+};
+
+strongest_evidence strongestOf(const rollout_evidence& evidence)
 {
-    const double failures = evidence(static_cast<double>(target.bad), static_cast<double>(target.all()),
-        shareOf(others.bad, others.all()), failureMargins);
-    const double slowness = evidence(static_cast<double>(target.slow), static_cast<double>(target.timed),
-        shareOf(others.slow, others.timed), slownessMargins);
-    return std::max(failures, slowness);
+    const version_answers allOthers = evidence.total().others;
+    strongest_evidence strongest;
+    for (const symptom& symptom : symptoms) {
+        double sum = 0;
+        for (const route_answers& row : evidence.routes()) {
+            const auto found = evidenceOf(symptom, row, allOthers);
+            if (!found)
+                continue;
+            sum += *found;
+            const bool counts = row.route == rollout_evidence::underLoad
+                || static_cast<double>(row.others.sent) >= static_cast<double>(allOthers.sent) * leastPartOfRoute;
+            if (counts)
+                strongest.route = std::max(strongest.route, *found);
+        }
+        strongest.whole = std::max(strongest.whole, sum);
+    }
+    return strongest;
 }
 
 } // namespace
@@ -63,17 +126,22 @@
     return "open";
 }
 
-rollout_verdict judgeRollout(const version_answers& target, const version_answers& others)
+rollout_verdict judgeRollout(const rollout_evidence& evidence)
 {
-    const double worst = worstEvidence(target, others);
-    if (worst >= badThreshold)
+    const strongest_evidence strongest = strongestOf(evidence);
+    if (std::max(strongest.whole, strongest.route) >= badThreshold)
         return rollout_verdict::Bad;
-    return worst <= goodThreshold ? rollout_verdict::Good : rollout_verdict::Open;
+    const bool good = strongest.whole <= goodThreshold && strongest.route <= routeGoodThreshold;
+    return good ? rollout_verdict::Good : rollout_verdict::Open;
 }
 
-bool seemsBad(const version_answers& target, const version_answers& others)
+bool seemsBad(const rollout_evidence& evidence)
 {
-    return worstEvidence(target, others) >= leaningThreshold;
+    const route_answers total = evidence.total();
+    if (total.target.all() + total.target.timed == 0 && total.others.all() >= enoughForATrial)
+        return true;
+    const strongest_evidence strongest = strongestOf(evidence);
+    return strongest.whole >= leaningThreshold || strongest.route >= routeLeaningThreshold;
 }
 
 } // namespace pollen
--- a/libs/relay/src/usual_latency.cpp
+++ b/libs/relay/src/usual_latency.cpp
@@ -4,27 +4,54 @@
 
 namespace {
 
+// First bytes that come sooner are not slow, however much sooner others come.
+constexpr duration leastSlow = std::chrono::milliseconds(30);
+// What an answer takes when nothing is to be read.
+constexpr double baseMilliseconds = 50;
+// Where the cost of a token starts; the fleets' sheets have 16 to 470 tokens read in a millisecond, by model.
+constexpr double firstMillisecondsPerToken = 1.0 / 48;
+// Smaller prompts say little of it.
+constexpr uint32_t leastTokens = 500;
+// How far one latency moves the cost of a token, which rests where half of the latencies are above it.
+constexpr double costStep = 0.05;
+
 constexpr double shareBeyond = 0.2;
 // How far one latency moves the bound. The bound rests where those beyond it and those below it balance.
 constexpr double step = 0.1;
 // Where the bound starts, from the first latency of a kind.
 constexpr double firstFactor = 2;
+// Latencies that are so many times as long as the bound are very slow.
+constexpr double verySlowFactor = 2.5;
 
 } // namespace
 
-bool usual_latency::isSlow(const kind& kind, double relative) const
+double usual_latency::estimate::relative(duration latency, uint32_t unreadTokens) const
+{
+    return toSeconds(latency) * 1000 / (baseMilliseconds + millisecondsPerToken * unreadTokens);
+}
+
+latency_grade usual_latency::grade(const kind& kind, duration latency, uint32_t unreadTokens) const
 {
-    const auto bound = m_bounds.find(kind);
-    return bound != m_bounds.end() && relative > bound->second;
+    const auto known = m_estimates.find(kind);
+    if (known == m_estimates.end() || latency <= leastSlow)
+        return latency_grade::Usual;
+    const double relative = known->second.relative(latency, unreadTokens);
+    if (relative > known->second.bound * verySlowFactor)
+        return latency_grade::VerySlow;
+    return relative > known->second.bound ? latency_grade::Slow : latency_grade::Usual;
 }
 
-void usual_latency::count(const kind& kind, double relative)
+void usual_latency::count(const kind& kind, duration latency, uint32_t unreadTokens)
 {
-    const auto [bound, isFirst] = m_bounds.try_emplace(kind, relative * firstFactor);
+    const auto [known, isFirst] = m_estimates.try_emplace(kind, estimate { firstMillisecondsPerToken, 0 });
+    estimate& usual = known->second;
+    const double relative = usual.relative(latency, unreadTokens);
+    if (unreadTokens >= leastTokens)
+        usual.millisecondsPerToken *= relative > 1 ? 1 + costStep : 1 - costStep;
     if (isFirst)
-        return;
-    const double towards = relative > bound->second ? 1 - shareBeyond : -shareBeyond;
-    bound->second *= 1 + step * towards;
+        usual.bound = relative * firstFactor;
+    else
+        usual.bound *= 1 + step * (relative > usual.bound ? 1 - shareBeyond : -shareBeyond);
 }
 
 } // namespace pollen
--- a/libs/relay/src/view_message.cpp
+++ b/libs/relay/src/view_message.cpp
@@ -31,13 +31,30 @@
 
 template <typename Archive> void serialize(Archive& archive, version_answers& answers)
 {
-    archive(answers.good, answers.bad, answers.timed, answers.slow);
+    archive(answers.sent, answers.good, answers.bad, answers.timed, answers.slow, answers.verySlow);
+}
+
+template <typename Archive> void serialize(Archive& archive, route_answers& answers)
+{
+    archive(answers.route, answers.target, answers.others);
+}
+
+template <typename Archive> void save(Archive& archive, const rollout_evidence& evidence)
+{
+    archive(evidence.routes());
+}
+
+template <typename Archive> void load(Archive& archive, rollout_evidence& evidence)
+{
+    std::vector<route_answers> routes;
+    archive(routes);
+    evidence = rollout_evidence(std::move(routes));
 }
 
 template <typename Archive> void serialize(Archive& archive, rollout_report& report)
 {
-    archive(report.daemon, report.incarnation, report.service, report.target, report.age, report.targetAnswers,
-        report.otherAnswers, report.othersRunning);
+    archive(report.daemon, report.incarnation, report.service, report.target, report.age, report.evidence,
+        report.othersRunning, report.condemned);
 }
 
 template <typename Archive> void serialize(Archive& archive, server_work& work)
--- a/libs/relay/tests/relay_values_test.cpp
+++ b/libs/relay/tests/relay_values_test.cpp
@@ -260,21 +260,56 @@
     std::bernoulli_distribution half(0.5);
     const usual_latency::kind kind { "route", 0 };
     const usual_latency::kind other { "route", 1 };
+    const auto ms = [](double milliseconds) {
+        return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(milliseconds));
+    };
     usual_latency latencies;
-    EXPECT_FALSE(latencies.isSlow(kind, 1000)) << "nothing is known";
+    const auto isSlow = [&](double latency) { return latencies.grade(kind, ms(latency), 0) != latency_grade::Usual; };
+    EXPECT_FALSE(isSlow(1000)) << "nothing is known";
     for (int i = 0; i < 500; ++i)
-        latencies.count(kind, usual(random));
+        latencies.count(kind, ms(100 * usual(random)), 0);
     int slowUsual = 0;
     int slowOther = 0;
+    int verySlowUsual = 0;
+    int verySlowOther = 0;
     for (int i = 0; i < 1000; ++i) {
-        const double latency = usual(random);
-        slowUsual += latencies.isSlow(kind, latency) ? 1 : 0;
-        slowOther += latencies.isSlow(kind, latency * (half(random) ? 8 : 1)) ? 1 : 0;
-        latencies.count(kind, latency);
+        const double latency = 100 * usual(random);
+        const double other = latency * (half(random) ? 8 : 1);
+        slowUsual += isSlow(latency) ? 1 : 0;
+        slowOther += isSlow(other) ? 1 : 0;
+        verySlowUsual += latencies.grade(kind, ms(latency), 0) == latency_grade::VerySlow ? 1 : 0;
+        verySlowOther += latencies.grade(kind, ms(other), 0) == latency_grade::VerySlow ? 1 : 0;
+        latencies.count(kind, ms(latency), 0);
     }
     EXPECT_NEAR(slowUsual, 200, 50);
     EXPECT_GT(slowOther, 500);
-    EXPECT_FALSE(latencies.isSlow(other, 1000)) << "models are kept apart";
+    EXPECT_LT(verySlowUsual, 30);
+    EXPECT_GT(verySlowOther, 350);
+    EXPECT_EQ(latencies.grade(other, ms(1000), 0), latency_grade::Usual) << "models are kept apart";
+}
+
+// Pattern: half of the prompts have been read before; the others cost 1 ms for each 20 tokens. A long prompt is no
+// slower than it has to be.
+TEST(UsualLatency, LearnsWhatAPromptTokenCosts)
+{
+    std::mt19937 random(1);
+    std::lognormal_distribution<double> usual(0, 0.3);
+    std::bernoulli_distribution half(0.5);
+    const usual_latency::kind kind { "route", 0 };
+    usual_latency latencies;
+    int slowUnread = 0;
+    int unread = 0;
+    for (int i = 0; i < 2000; ++i) {
+        const uint32_t tokens = half(random) ? 16000 : 0;
+        const std::chrono::duration<double, std::milli> took((50 + tokens / 20.0) * usual(random));
+        const auto latency = std::chrono::duration_cast<duration>(took);
+        if (i >= 1000 && tokens > 0) {
+            ++unread;
+            slowUnread += latencies.grade(kind, latency, tokens) != latency_grade::Usual ? 1 : 0;
+        }
+        latencies.count(kind, latency, tokens);
+    }
+    EXPECT_NEAR(static_cast<double>(slowUnread) / unread, 0.2, 0.1);
 }
 
 TEST(AnswerBuffer, TakesItsMemoryFromABudgetAndGivesItBack)
--- a/libs/relay/tests/rollout_test.cpp
+++ b/libs/relay/tests/rollout_test.cpp
@@ -11,6 +11,8 @@
 
 const service_name service("advice");
 const version_name target("v2");
+const version_name old("v1");
+const std::string route = "quotes";
 const time_point start { std::chrono::seconds(1000) };
 constexpr duration allowed = std::chrono::seconds(20);
 
@@ -29,8 +31,9 @@
     void answers(const version_name& version, int good, int bad)
     {
         for (int i = 0; i < good + bad; ++i) {
-            system.countAnswer(service, version, i < good);
-            system.countFirstByte(service, version, false);
+            system.countSent({ service, version, route });
+            system.countAnswer({ service, version, route }, i < good);
+            system.countFirstByte({ service, version, route }, latency_grade::Usual);
         }
     }
     // Ticks through a span in steps of the daemon's own.
@@ -42,37 +45,70 @@
     const rollout_row& row() { return *table.find(service); }
 };
 
-rollout_report reportOf(const char* id, duration age, version_answers answers)
+rollout_report reportOf(const char* id, duration age, const version_answers& answers, bool condemned = false)
 {
-    return { instance_id(id), 1, service, target, age, answers, {}, 0 };
+    return { instance_id(id), 1, service, target, age, rollout_evidence({ { route, answers, {} } }), 0, condemned };
 }
 
+// Answers that have all begun, none of them slow.
+version_answers answered(uint64_t good, uint64_t bad) { return { good + bad, good, bad, good + bad, 0, 0 }; }
+
 } // namespace
 
 TEST(RolloutVerdict, WeighsAVersionAgainstTheOthersOfTheSameTime)
 {
+    const version_answers fine = answered(100, 0);
     struct evidence {
         const char* what;
-        version_answers target;
-        version_answers others;
+        std::vector<route_answers> routes;
         rollout_verdict verdict;
     };
     const std::vector<evidence> cases {
-        { "nothing seen", {}, {}, rollout_verdict::Open },
-        { "two failures", { 0, 2, 2, 0 }, { 100, 0, 100, 0 }, rollout_verdict::Open },
-        { "half fail", { 6, 6, 12, 0 }, { 100, 0, 100, 0 }, rollout_verdict::Bad },
-        { "all fail", { 0, 5, 5, 0 }, { 100, 0, 100, 0 }, rollout_verdict::Bad },
-        { "a third fails", { 20, 10, 30, 0 }, { 100, 0, 100, 0 }, rollout_verdict::Bad },
-        { "all well", { 40, 0, 40, 0 }, { 100, 0, 100, 0 }, rollout_verdict::Good },
-        { "as bad as the others", { 34, 6, 40, 0 }, { 85, 15, 100, 0 }, rollout_verdict::Good },
-        { "most are slow", { 10, 0, 10, 8 }, { 100, 0, 100, 2 }, rollout_verdict::Bad },
-        { "as slow as the others", { 40, 0, 40, 4 }, { 90, 0, 100, 10 }, rollout_verdict::Good },
-        { "slow ones that have not ended", { 0, 0, 9, 8 }, { 100, 0, 100, 2 }, rollout_verdict::Bad },
-        { "well begun, none ended", { 0, 0, 40, 0 }, { 100, 0, 100, 0 }, rollout_verdict::Open },
-        { "few, all well", { 5, 0, 5, 0 }, { 100, 0, 100, 0 }, rollout_verdict::Open },
+        { "nothing seen", {}, rollout_verdict::Open },
+        { "two failures", { { "a", answered(0, 2), fine } }, rollout_verdict::Open },
+        { "half fail", { { "a", answered(6, 6), fine } }, rollout_verdict::Bad },
+        { "all fail", { { "a", answered(0, 5), fine } }, rollout_verdict::Bad },
+        { "a third fails", { { "a", answered(20, 10), fine } }, rollout_verdict::Bad },
+        { "all well", { { "a", answered(40, 0), fine } }, rollout_verdict::Good },
+        { "as bad as the others", { { "a", answered(34, 6), answered(85, 15) } }, rollout_verdict::Good },
+        { "most are slow", { { "a", { 10, 10, 0, 10, 8, 6 }, { 100, 100, 0, 100, 2, 0 } } }, rollout_verdict::Bad },
+        { "as slow as the others", { { "a", { 60, 60, 0, 60, 6, 1 }, { 100, 100, 0, 100, 10, 2 } } },
+            rollout_verdict::Good },
+        { "slow ones that have not ended", { { "a", { 9, 0, 0, 9, 8, 7 }, { 100, 100, 0, 100, 2, 0 } } },
+            rollout_verdict::Bad },
+        { "well begun, none ended", { { "a", { 40, 0, 0, 40, 0, 0 }, fine } }, rollout_verdict::Open },
+        { "few, all well", { { "a", answered(5, 0), fine } }, rollout_verdict::Open },
+        { "one route of two fails in a third", { { "a", answered(40, 0), fine }, { "b", answered(14, 7), fine } },
+            rollout_verdict::Bad },
+        { "a route that fails anyway", { { "a", answered(60, 0), fine }, { "b", answered(0, 9), answered(0, 20) } },
+            rollout_verdict::Good },
+        { "more of the trial on the route that fails more often",
+            { { "a", answered(30, 0), answered(300, 0) }, { "b", answered(26, 4), answered(85, 15) } },
+            rollout_verdict::Good },
+        { "fails only where a trial loads its servers",
+            { { "a", answered(60, 0), fine }, { rollout_evidence::underLoad, answered(14, 7), {} } },
+            rollout_verdict::Bad },
+        { "nothing seen of one route yet", { { "a", answered(60, 0), fine }, { "b", {}, fine } },
+            rollout_verdict::Open },
     };
     for (const evidence& seen : cases)
-        EXPECT_EQ(judgeRollout(seen.target, seen.others), seen.verdict) << seen.what;
+        EXPECT_EQ(judgeRollout(rollout_evidence(seen.routes)), seen.verdict) << seen.what;
+}
+
+TEST(RolloutVerdict, NoAnswersAtAllSpeakAgainstAVersionOnlyWhileOthersAnswer)
+{
+    EXPECT_FALSE(seemsBad(rollout_evidence()));
+    EXPECT_FALSE(seemsBad(rollout_evidence({ { route, {}, answered(3, 0) } }))) << "there was nothing to try it with";
+    EXPECT_TRUE(seemsBad(rollout_evidence({ { route, {}, answered(20, 0) } })));
+}
+
+TEST(RolloutEvidence, ManyRoutesShareARow)
+{
+    rollout_evidence evidence;
+    for (int i = 0; i < 500; ++i)
+        ++evidence.at("route-" + std::to_string(i)).target.sent;
+    EXPECT_LE(evidence.routes().size(), 17U);
+    EXPECT_EQ(evidence.total().target.sent, 500U);
 }
 
 TEST(RolloutSystem, AGoodVersionGetsNothingThenAFewSessionsThenAllAndIsCompletedInTime)
@@ -85,6 +121,7 @@
     daemon.run(std::chrono::seconds(9), std::chrono::seconds(11));
     EXPECT_GT(daemon.row().share, 0);
     EXPECT_LT(daemon.row().share, 0.5);
+    daemon.answers(old, 30, 0);
     daemon.answers(target, 30, 0);
     daemon.run(std::chrono::seconds(11), std::chrono::seconds(19));
     EXPECT_EQ(daemon.row().state, rollout_state::Complete);
@@ -98,10 +135,10 @@
     daemon_view daemon("a");
     daemon.table.order({ service, target, allowed }, start);
     daemon.system.addOther(service);
-    daemon.run(std::chrono::seconds(0), std::chrono::seconds(17));
+    daemon.run(std::chrono::seconds(0), std::chrono::seconds(18));
     EXPECT_TRUE(daemon.store.published.empty());
     daemon.system.removeOther(service);
-    daemon.run(std::chrono::seconds(17), std::chrono::milliseconds(17500));
+    daemon.run(std::chrono::seconds(18), std::chrono::milliseconds(18300));
     EXPECT_EQ(daemon.store.published.size(), 1U);
 }
 
@@ -109,12 +146,12 @@
 {
     daemon_view daemon("b");
     daemon.table.order({ service, target, allowed }, start);
-    daemon.answers(version_name("v1"), 100, 0);
+    daemon.answers(old, 100, 0);
     daemon.answers(target, 1, 2);
     daemon.run(std::chrono::seconds(0), std::chrono::seconds(2));
     EXPECT_FALSE(daemon.row().condemned);
-    daemon.system.hear(reportOf("c", std::chrono::seconds(2), { 1, 3, 4, 0 }), start + std::chrono::seconds(2));
-    daemon.system.hear(reportOf("d", std::chrono::seconds(2), { 0, 2, 2, 0 }), start + std::chrono::seconds(2));
+    daemon.system.hear(reportOf("c", std::chrono::seconds(2), answered(1, 3)), start + std::chrono::seconds(2));
+    daemon.system.hear(reportOf("d", std::chrono::seconds(2), answered(0, 2)), start + std::chrono::seconds(2));
     daemon.run(std::chrono::seconds(2), std::chrono::milliseconds(2100));
     EXPECT_TRUE(daemon.row().condemned);
     EXPECT_EQ(daemon.row().share, 0);
@@ -157,7 +194,7 @@
 {
     daemon_view daemon("z");
     daemon.table.order({ service, target, allowed }, start);
-    daemon.system.hear(reportOf("a", std::chrono::seconds(12), { 30, 0, 30, 0 }), start + std::chrono::seconds(1));
+    daemon.system.hear(reportOf("a", std::chrono::seconds(12), answered(30, 0)), start + std::chrono::seconds(1));
     daemon.run(std::chrono::seconds(1), std::chrono::milliseconds(1100));
     EXPECT_GT(daemon.row().share, 0);
 }
@@ -179,7 +216,7 @@
     reader.system.hearMember(member.system.ownReports(now)[0], now);
     reader.system.tick(now);
     ASSERT_EQ(reader.store.reports.size(), 1U);
-    EXPECT_EQ(reader.store.reports[0].targetAnswers, (version_answers { 1, 9, 10, 0 }));
+    EXPECT_EQ(reader.store.reports[0].evidence.total().target, answered(1, 9));
     EXPECT_TRUE(reader.row().condemned);
     member.system.hearTotal(reader.system.totals(now)[0], now);
     member.system.tick(now);
@@ -203,19 +240,38 @@
 {
     daemon_view daemon("a");
     daemon.table.order({ service, target, allowed }, start);
-    daemon.answers(version_name("v1"), 100, 0);
+    daemon.answers(old, 100, 0);
     daemon.run(std::chrono::seconds(0), std::chrono::seconds(11));
     for (int i = 0; i < 8; ++i)
-        daemon.system.countFirstByte(service, target, i % 2 == 0);
+        daemon.system.countFirstByte(
+            { service, target, route }, i % 2 == 0 ? latency_grade::VerySlow : latency_grade::Usual);
     daemon.run(std::chrono::seconds(11), std::chrono::milliseconds(11100));
     for (int i = 0; i < 8; ++i)
-        daemon.system.countFirstByte(service, target, i % 2 == 0);
+        daemon.system.countFirstByte(
+            { service, target, route }, i % 2 == 0 ? latency_grade::VerySlow : latency_grade::Usual);
     daemon.run(std::chrono::milliseconds(11100), std::chrono::seconds(12));
     EXPECT_TRUE(daemon.row().condemned);
     ASSERT_EQ(daemon.store.published.size(), 1U);
     EXPECT_EQ(daemon.store.published[0].state, rollout_state::RolledBack);
 }
 
+// Guards against EXPOSURE: daemons looked at the evidence at different moments; some rolled the version back while
+// others moved all sessions to it.
+TEST(RolloutSystem, WhatOneDaemonHasFoundBadIsBadForAll)
+{
+    daemon_view daemon("b");
+    daemon.table.order({ service, target, allowed }, start);
+    daemon.answers(old, 100, 0);
+    daemon.answers(target, 40, 0);
+    daemon.store.answers = false;
+    daemon.run(std::chrono::seconds(0), std::chrono::seconds(12));
+    daemon.system.hear(reportOf("c", std::chrono::seconds(12), answered(3, 1), true), start + std::chrono::seconds(12));
+    daemon.run(std::chrono::seconds(12), std::chrono::seconds(13));
+    EXPECT_TRUE(daemon.row().condemned);
+    ASSERT_FALSE(daemon.store.reports.empty());
+    EXPECT_TRUE(daemon.store.reports.back().condemned) << "it passes the finding on";
+}
+
 // Pattern: a service with little traffic; the trial ends with a few answers.
 TEST(RolloutSystem, WithoutEnoughAnswersTheEvidenceThatThereIsDecides)
 {
@@ -226,7 +282,7 @@
         rollout_state state;
     };
     const std::vector<trial> cases {
-        { "nothing seen", 0, 0, rollout_state::Complete },
+        { "nothing seen", 0, 0, rollout_state::RolledBack },
         { "three well", 3, 0, rollout_state::Complete },
         { "two of five bad", 3, 2, rollout_state::RolledBack },
         { "one of one bad", 0, 1, rollout_state::RolledBack },
@@ -234,7 +290,7 @@
     for (const trial& given : cases) {
         daemon_view daemon("a");
         daemon.table.order({ service, target, allowed }, start);
-        daemon.answers(version_name("v1"), 100, 0);
+        daemon.answers(old, 100, 0);
         daemon.run(std::chrono::seconds(0), std::chrono::seconds(11));
         daemon.answers(target, given.good, given.bad);
         daemon.run(std::chrono::seconds(11), std::chrono::seconds(14));
@@ -251,13 +307,13 @@
 {
     daemon_view daemon("a");
     daemon.table.order({ service, target, allowed }, start);
-    daemon.answers(version_name("v1"), 2000, 0);
+    daemon.answers(old, 2000, 0);
     daemon.run(std::chrono::seconds(0), std::chrono::seconds(10));
     daemon.answers(target, 60, 0);
     daemon.run(std::chrono::seconds(10), std::chrono::seconds(12));
     EXPECT_LT(daemon.row().share, 1);
     for (int i = 0; i < 60; ++i)
-        daemon.system.countFirstByte(service, target, true);
+        daemon.system.countFirstByte({ service, target, route }, latency_grade::VerySlow);
     daemon.run(std::chrono::seconds(12), std::chrono::seconds(14));
     EXPECT_TRUE(daemon.row().condemned);
 }
@@ -273,7 +329,7 @@
     std::lognormal_distribution<double> milliseconds(6, 0.6);
     time_point now = start;
     const auto serve = [&](const version_name& version, double factor) {
-        timer.start({ service, version, 0, 1000 }, now);
+        timer.start({ { service, version, route }, 0, 1000 }, now);
         const auto took = std::chrono::milliseconds(static_cast<int64_t>(milliseconds(random) * factor));
         for (duration waited { 0 }; waited < took; waited += std::chrono::milliseconds(50))
             timer.tick(now + waited);
@@ -281,17 +337,17 @@
         timer.stop(now);
     };
     for (int i = 0; i < 300; ++i)
-        serve(version_name("v1"), 1);
+        serve(old, 1);
     daemon.table.order({ service, target, allowed }, now);
     for (int i = 0; i < 500; ++i) {
-        serve(version_name("v1"), 1);
+        serve(old, 1);
         serve(target, i % 2 == 0 ? 8 : 1);
     }
     daemon.system.tick(now);
-    EXPECT_EQ(daemon.row().otherAnswers.timed, 500U);
-    EXPECT_EQ(daemon.row().targetAnswers.timed, 500U);
-    EXPECT_LT(daemon.row().otherAnswers.slow, 150U) << "one of five, give or take";
-    EXPECT_GT(daemon.row().targetAnswers.slow, 200U);
+    EXPECT_EQ(daemon.row().evidence.total().others.timed, 500U);
+    EXPECT_EQ(daemon.row().evidence.total().target.timed, 500U);
+    EXPECT_LT(daemon.row().evidence.total().others.slow, 150U) << "one of five, give or take";
+    EXPECT_GT(daemon.row().evidence.total().target.slow, 200U);
 }
 
 TEST(FirstByteTimer, LearnsAgainOnceARolloutIsOver)
@@ -300,15 +356,16 @@
     usual_latency usual;
     first_byte_timer timer(usual, daemon.table, daemon.system);
     const auto serve = [&](int milliseconds) {
-        timer.start({ service, target, 0, 0 }, start);
+        timer.start({ { service, target, route }, 0, 0 }, start);
         timer.stop(start + std::chrono::milliseconds(milliseconds));
     };
     daemon.table.order({ service, target, allowed }, start);
     serve(1000);
-    EXPECT_FALSE(usual.isSlow({ service.text(), 0 }, 1000)) << "what is on trial is not what is usual";
+    EXPECT_EQ(usual.grade({ service.text(), 0 }, std::chrono::seconds(1), 0), latency_grade::Usual)
+        << "what is on trial is not what is usual";
     daemon.table.status({ service, target, rollout_state::Complete });
     serve(100);
-    EXPECT_TRUE(usual.isSlow({ service.text(), 0 }, 1000));
+    EXPECT_NE(usual.grade({ service.text(), 0 }, std::chrono::seconds(1), 0), latency_grade::Usual);
 }
 
 } // namespace pollen
