Count quick first bytes no sooner than slow ones, and let one daemon decide on weak evidence

Change: a first byte counts at the age at which it would be very slow, whenever it came. On weak evidence at the end of a trial only the first reading daemon decides, either way; the others follow its report. Any daemon condemns on strong evidence.

--- a/libs/relay/include/relay/first_byte_timer.h
+++ b/libs/relay/include/relay/first_byte_timer.h
@@ -30,16 +30,14 @@
     // The first byte has come.
     void stop(time_point now);
 
-    // A first byte that has not come in the time in which it would be slow will be slow: it counts before it comes, so
-    // that a verdict need not wait for it.
+    // A first byte that has not come in the time in which it would be very slow counts as such before it comes, so that
+    // a verdict need not wait for it. Quick ones count at that age too: otherwise they would outnumber the slow ones
+    // for as long as these take.
     void tick(time_point now);
 
 private:
     usual_latency::kind kind() const { return { m_attempt.subject.service.text(), m_attempt.model }; }
-    latency_grade gradeAt(time_point now) const;
     bool isOnTrial() const;
-    // Counts the attempt, or raises what it has been counted as.
-    void countAs(latency_grade grade);
 
     usual_latency& m_usual;
     const rollout_table& m_table;
@@ -47,8 +45,9 @@
     attempt m_attempt;
     time_point m_sent {};
     bool m_running = false;
-    // As it has been counted; none before.
-    std::optional<latency_grade> m_counted;
+    // When it counts as very slow; none while that is not known.
+    std::optional<time_point> m_overdue;
+    bool m_counted = false;
 };
 
 } // namespace pollen
--- a/libs/relay/include/relay/rollout.h
+++ b/libs/relay/include/relay/rollout.h
@@ -63,6 +63,8 @@
     uint64_t othersRunning = 0;
     // The daemon, or one that it speaks for, has found the version bad.
     bool condemned = false;
+    // The first of the daemons that read has found that all requests shall move to the new version.
+    bool moving = false;
 
     friend bool operator==(const rollout_report&, const rollout_report&) = default;
 };
--- a/libs/relay/include/relay/rollout_system.h
+++ b/libs/relay/include/relay/rollout_system.h
@@ -41,8 +41,8 @@
     void countAnswer(const rollout_subject& subject, bool good);
     // The first byte of an answer has come, or is overdue.
     void countFirstByte(const rollout_subject& subject, latency_grade grade);
-    // A first byte that was counted as slow has become very slow.
-    void raiseToVerySlow(const rollout_subject& subject);
+    // The same, to be counted at a later time.
+    void countFirstByteAt(time_point due, const rollout_subject& subject, latency_grade grade);
     // A request starts or ends on a server of a version that is not the target.
     void addOther(const service_name& service) { ++m_othersRunning[service]; }
     void removeOther(const service_name& service) { --m_othersRunning[service]; }
@@ -58,12 +58,13 @@
     void beginCounting(const rollout_row& row);
     // The counts that an answer of the version belongs to; null while no roll-out of the service is running.
     version_answers* countsOf(const rollout_subject& subject);
+    void countDueFirstBytes(time_point now);
     void condemn(rollout_row& row, const char* reason);
     void move(rollout_row& row, rollout_verdict verdict, time_point now);
     rollout_report groupReport(const rollout_row& row, time_point now) const;
     rollout_report totalReport(const rollout_row& row, time_point now) const;
     void learnAge(const rollout_report& report, time_point now);
-    void advance(rollout_row& row, bool condemnedElsewhere, time_point now);
+    void advance(rollout_row& row, const rollout_report& total, time_point now);
     static bool reportedSince(const rollout_row& row, time_point now);
     void publish(const rollout_row& row, rollout_state state, time_point now);
 
@@ -75,6 +76,7 @@
     logger& m_log;
     bool m_reading = true;
     std::map<service_name, rollout_evidence> m_own;
+    std::multimap<time_point, std::pair<rollout_subject, latency_grade>> m_dueFirstBytes;
     std::map<service_name, uint64_t> m_othersRunning;
     std::map<service_name, version_name> m_countedTarget;
     std::map<report_key, heard_report> m_groups;
--- a/libs/relay/include/relay/usual_latency.h
+++ b/libs/relay/include/relay/usual_latency.h
@@ -3,6 +3,7 @@
 #include <base/clock.h>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <relay/rollout.h>
 #include <string>
 #include <utility>
@@ -18,6 +19,8 @@
 
     // unreadTokens: prompt tokens that the server had to read. Usual while nothing is known.
     latency_grade grade(const kind& kind, duration latency, uint32_t unreadTokens) const;
+    // The latency from which on it is very slow; none while nothing is known.
+    std::optional<duration> verySlowAfter(const kind& kind, uint32_t unreadTokens) const;
     void count(const kind& kind, duration latency, uint32_t unreadTokens);
 
 private:
@@ -26,6 +29,8 @@
         // Of the latency divided by what the prompt makes usual.
         double bound = 0;
 
+        // Milliseconds that the prompt makes usual.
+        double expected(uint32_t unreadTokens) const;
         double relative(duration latency, uint32_t unreadTokens) const;
     };
 
--- a/libs/relay/src/first_byte_timer.cpp
+++ b/libs/relay/src/first_byte_timer.cpp
@@ -1,5 +1,6 @@
 #include <relay/first_byte_timer.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace pollen {
@@ -8,38 +9,30 @@
 {
     m_attempt = attempt;
     m_sent = now;
+    const auto verySlowAfter = m_usual.verySlowAfter(kind(), attempt.unreadTokens);
+    m_overdue = verySlowAfter ? std::optional(now + *verySlowAfter) : std::nullopt;
     m_running = true;
-    m_counted = {};
+    m_counted = attempt.unusual;
 }
 
 void first_byte_timer::stop(time_point now)
 {
     if (!std::exchange(m_running, false))
         return;
-    const latency_grade grade = gradeAt(now);
+    const latency_grade grade = m_usual.grade(kind(), now - m_sent, m_attempt.unreadTokens);
     if (!isOnTrial())
         m_usual.count(kind(), now - m_sent, m_attempt.unreadTokens);
-    countAs(grade);
-}
-
-void first_byte_timer::tick(time_point now)
-{
-    if (!m_running)
+    if (std::exchange(m_counted, true))
         return;
-    const latency_grade grade = gradeAt(now);
-    if (grade != latency_grade::Usual)
-        countAs(grade);
+    m_rollouts.countFirstByteAt(std::max(now, m_overdue.value_or(now)), m_attempt.subject, grade);
 }
 
-void first_byte_timer::countAs(latency_grade grade)
+void first_byte_timer::tick(time_point now)
 {
-    if (m_attempt.unusual || (m_counted && *m_counted >= grade))
+    if (!m_running || m_counted || !m_overdue || now < *m_overdue)
         return;
-    if (m_counted)
-        m_rollouts.raiseToVerySlow(m_attempt.subject);
-    else
-        m_rollouts.countFirstByte(m_attempt.subject, grade);
-    m_counted = grade;
+    m_counted = true;
+    m_rollouts.countFirstByte(m_attempt.subject, latency_grade::VerySlow);
 }
 
 bool first_byte_timer::isOnTrial() const
@@ -48,9 +41,4 @@
     return row && row->state == rollout_state::Running && row->order.target == m_attempt.subject.version;
 }
 
-latency_grade first_byte_timer::gradeAt(time_point now) const
-{
-    return m_usual.grade(kind(), now - m_sent, m_attempt.unreadTokens);
-}
-
 } // namespace pollen
--- a/libs/relay/src/rollout_system.cpp
+++ b/libs/relay/src/rollout_system.cpp
@@ -12,7 +12,7 @@
 // Part of the allowed time until which what still runs on old servers is waited for.
 constexpr double waitUntil = 0.92;
 // Every daemon has had the time to move its sessions and to report what still runs on old servers.
-constexpr duration movingTime = std::chrono::milliseconds(1200);
+constexpr duration movingTime = std::chrono::milliseconds(1600);
 
 // The counts of both under the name of the first.
 rollout_report sum(const rollout_report& left, const rollout_report& right)
@@ -22,6 +22,7 @@
     total.evidence += right.evidence;
     total.othersRunning += right.othersRunning;
     total.condemned = total.condemned || right.condemned;
+    total.moving = total.moving || right.moving;
     return total;
 }
 
@@ -41,6 +42,7 @@
 
 void rollout_system::tick(time_point now)
 {
+    countDueFirstBytes(now);
     bool anyRunning = false;
     const bool reportNow = m_reading && now >= m_nextReport;
     for (auto& [service, row] : m_table.rows()) {
@@ -53,7 +55,7 @@
         const rollout_report total = totalReport(row, now);
         row.evidence = total.evidence;
         row.othersRunning = total.othersRunning;
-        advance(row, total.condemned, now);
+        advance(row, total, now);
     }
     if (reportNow && anyRunning)
         m_nextReport = now + reportInterval;
@@ -150,10 +152,19 @@
     answers->verySlow += grade == latency_grade::VerySlow ? 1 : 0;
 }
 
-void rollout_system::raiseToVerySlow(const rollout_subject& subject)
+void rollout_system::countFirstByteAt(time_point due, const rollout_subject& subject, latency_grade grade)
 {
-    if (version_answers* answers = countsOf(subject))
-        ++answers->verySlow;
+    if (countsOf(subject))
+        m_dueFirstBytes.emplace(due, std::pair(subject, grade));
+}
+
+void rollout_system::countDueFirstBytes(time_point now)
+{
+    while (!m_dueFirstBytes.empty() && m_dueFirstBytes.begin()->first <= now) {
+        const auto [subject, grade] = m_dueFirstBytes.begin()->second;
+        m_dueFirstBytes.erase(m_dueFirstBytes.begin());
+        countFirstByte(subject, grade);
+    }
 }
 
 bool rollout_system::isLeader(const service_name& service, time_point now) const
@@ -170,7 +181,8 @@
 rollout_report rollout_system::groupReport(const rollout_row& row, time_point now) const
 {
     const service_name& service = row.order.service;
-    rollout_report report { m_self, m_incarnation, service, row.order.target, now - row.since, {}, 0, row.condemned };
+    rollout_report report { m_self, m_incarnation, service, row.order.target, now - row.since, {}, 0, row.condemned,
+        row.movedAt.has_value() };
     const auto counted = m_countedTarget.find(service);
     if (counted != m_countedTarget.end() && counted->second == row.order.target)
         report.evidence = m_own.at(service);
@@ -199,7 +211,7 @@
     return report;
 }
 
-void rollout_system::advance(rollout_row& row, bool condemnedElsewhere, time_point now)
+void rollout_system::advance(rollout_row& row, const rollout_report& total, time_point now)
 {
     const double passed = passedShare(row, now);
     const rollout_verdict verdict = judgeRollout(row.evidence);
@@ -207,13 +219,15 @@
     if (verdict == rollout_verdict::Bad && !row.condemned)
         condemn(row, "evidence");
     // Daemons see the same evidence at different times; what one has found holds for all.
-    if (condemnedElsewhere && !row.condemned)
+    if (total.condemned && !row.condemned)
         condemn(row, "found by another daemon");
-    if (!row.condemned && !row.movedAt && trialOver && seemsBad(row.evidence))
+    // Where the evidence is weak, one daemon decides.
+    const bool decides = isLeader(row.order.service, now);
+    if (!row.condemned && !row.movedAt && trialOver && decides && seemsBad(row.evidence))
         condemn(row, "no time to see more");
     m_trial.advance(row, now);
     const bool foundGood = verdict == rollout_verdict::Good && rollout_trial::mayEnd(row, now);
-    if (!row.condemned && !row.movedAt && (foundGood || trialOver))
+    if (!row.condemned && !row.movedAt && ((decides && (foundGood || trialOver)) || total.moving))
         move(row, verdict, now);
     if (row.condemned)
         publish(row, rollout_state::RolledBack, now);
@@ -233,6 +247,7 @@
 void rollout_system::move(rollout_row& row, rollout_verdict verdict, time_point now)
 {
     row.movedAt = now;
+    m_nextReport = {};
     m_log.write(log_level::Info, "rollout_moving",
         { { "service", row.order.service.text() }, { "target", row.order.target.text() },
             { "verdict", toText(verdict) }, { "evidence", toText(row.evidence) } });
--- a/libs/relay/src/usual_latency.cpp
+++ b/libs/relay/src/usual_latency.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <relay/usual_latency.h>
 
 namespace pollen {
@@ -25,9 +26,24 @@
 
 } // namespace
 
+double usual_latency::estimate::expected(uint32_t unreadTokens) const
+{
+    return baseMilliseconds + millisecondsPerToken * unreadTokens;
+}
+
 double usual_latency::estimate::relative(duration latency, uint32_t unreadTokens) const
 {
-    return toSeconds(latency) * 1000 / (baseMilliseconds + millisecondsPerToken * unreadTokens);
+    return toSeconds(latency) * 1000 / expected(unreadTokens);
+}
+
+std::optional<duration> usual_latency::verySlowAfter(const kind& kind, uint32_t unreadTokens) const
+{
+    const auto known = m_estimates.find(kind);
+    if (known == m_estimates.end())
+        return std::nullopt;
+    const std::chrono::duration<double, std::milli> after(
+        known->second.expected(unreadTokens) * known->second.bound * verySlowFactor);
+    return std::max(leastSlow, std::chrono::duration_cast<duration>(after));
 }
 
 latency_grade usual_latency::grade(const kind& kind, duration latency, uint32_t unreadTokens) const
