Let requests that all servers turn away wait for room

Change: once every usable server has had the request, the next try waits some 60 ms, doubled each time and spread, or until a server that failed may be used again; where the time left is too short the caller is told at once. Test: ARequestThatAllServersTurnAwayWaitsForRoom (arrivals without a pause before).

--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -24,6 +24,9 @@
 constexpr size_t largestDiscarded = 64U << 10;
 constexpr duration retryAfterFull = std::chrono::milliseconds(400);
 
+// What a full server needs to work off a part of its queue; doubled each time.
+constexpr duration firstRoomPause = std::chrono::milliseconds(60);
+
 // A larger model that has been asked in vain so often, the first model included, is not asked again.
 constexpr uint32_t attemptsBeforeFallBack = 3;
 // Attempts beyond those that the route allows, for servers that are gone or full.
@@ -63,6 +66,11 @@
 
 void relay_exchange::tick(time_point now)
 {
+    if (m_sendAgainAt && now >= *m_sendAgainAt) {
+        m_sendAgainAt.reset();
+        attempt();
+        return;
+    }
     m_firstByteTimer.tick(now);
     // What may not be sent again gains nothing from knowing.
     if (!m_exchange || m_paused || !m_admission.route->mayRepeat() || !m_silence.isDue(now))
@@ -83,6 +91,7 @@
 void relay_exchange::abandon()
 {
     m_onEnd = nullptr;
+    m_sendAgainAt.reset();
     m_exchange.reset();
     releaseServer();
     m_body.clear();
@@ -125,9 +134,8 @@
         choice = m_dependencies.servers.choose(placement, servers, *service, now);
     }
     if (!choice && !m_tried.empty()) {
-        // Every server has had the request; a second try at one that turned it away is better than none.
-        placement.excluded.clear();
-        choice = m_dependencies.servers.choose(placement, servers, *service, now);
+        waitForRoom(placement, *service);
+        return;
     }
     if (!choice) {
         giveUp("no_server");
@@ -138,6 +146,32 @@
     send(*choice, placement);
 }
 
+// Every server has had the request. One that turned it away has room again when it has worked off some of its queue;
+// sending again at once would only add to what it has to turn away.
+void relay_exchange::waitForRoom(placement_request placement, const relay_service& service)
+{
+    const time_point now = m_dependencies.time.now();
+    placement.excluded.clear();
+    const server_table& servers = m_dependencies.state.servers();
+    const auto choice = m_dependencies.servers.choose(placement, servers, service, now);
+    if (!choice) {
+        giveUp("no_server");
+        return;
+    }
+    // Spread, so that those who were turned away together do not return together.
+    std::uniform_real_distribution<double> spread(0.5, 1.5);
+    const duration pause = std::max(
+        std::chrono::duration_cast<duration>(firstRoomPause * (1 << m_roomWaits) * spread(m_dependencies.random)),
+        servers.row(choice->server).unavailableUntil - now);
+    if (timeLeft() < pause + shortestSend) {
+        giveUp("no_room_in_time");
+        return;
+    }
+    ++m_roomWaits;
+    m_tried.clear();
+    m_sendAgainAt = now + pause;
+}
+
 void relay_exchange::send(const placement_choice& choice, const placement_request& placement)
 {
     server_table& servers = m_dependencies.state.servers();
@@ -534,6 +568,7 @@
 void relay_exchange::onCallerGone()
 {
     const auto self = shared_from_this();
+    m_sendAgainAt.reset();
     m_exchange.reset();
     releaseServer();
     end("caller_gone");
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -44,6 +44,7 @@
     void onFinished(const exchange_result& result) override;
 
     void attempt();
+    void waitForRoom(placement_request placement, const relay_service& service);
     void send(const placement_choice& choice, const placement_request& placement);
     duration timeLeft() const;
     bool isLargestModel() const;
@@ -117,6 +118,9 @@
     // Index of the model that answers, among those of the route.
     size_t m_model = 0;
     std::vector<server_handle> m_tried;
+    // Until when the request waits for room on a server, and how often it has.
+    std::optional<time_point> m_sendAgainAt;
+    int m_roomWaits = 0;
     // A server has failed the request.
     bool m_failed = false;
     uint32_t m_attempts = 0;
--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -177,6 +177,26 @@
     EXPECT_GT(std::stod(std::string(findHeader(response.headers, "Retry-After"))), 0);
 }
 
+// Pattern: a service has lost all servers but one, and that one turns away what its queue does not hold. Requests that
+// came back at once, four times in twenty milliseconds, made up most of what it had to turn away.
+TEST_F(RelayPathTest, ARequestThatAllServersTurnAwayWaitsForRoom)
+{
+    std::vector<time_point> arrivals;
+    const auto noting = [&](const behaviour& then) {
+        return [&arrivals, then, this](const std::shared_ptr<server_request>& request) {
+            arrivals.push_back(m_time.now());
+            then(request);
+        };
+    };
+    backend_standin desk(m_loop, { noting(isFull), noting(isFull), noting(answers(200, "done")) });
+    list("i-1", "desk", desk);
+    start();
+    EXPECT_EQ(send(request("POST", "/o/x")).response.body, "done");
+    ASSERT_EQ(arrivals.size(), 3U);
+    EXPECT_GE(arrivals[1] - arrivals[0], std::chrono::milliseconds(30));
+    EXPECT_GE(arrivals[2] - arrivals[1], std::chrono::milliseconds(60));
+}
+
 TEST_F(RelayPathTest, AStreamIsContinuedElsewhereAfterItsLastWholeEvent)
 {
     // Whichever server is asked first breaks off after the third event.
