Leave the store alone where others already look for it in vain

Every daemon whose reader had an old view read the store itself, twice a second, and peers were shunned for up to 32 seconds for a view that was old only because the store was away, so that all went on reading it after its return. Change: a peer that answers with an old view shows that the store is the trouble. Then three daemons of each failure domain go on reading; the others ask those, of any domain, and look themselves for 0.4 s every four seconds. Such a peer is asked again after a second. Peers that are silent change nothing: who is cut off from them reads the store at once.

--- a/libs/relay/include/relay/view_sharing.h
+++ b/libs/relay/include/relay/view_sharing.h
@@ -4,6 +4,7 @@
 #include <fleet/fleet_system.h>
 #include <fleet/server_table.h>
 #include <memory>
+#include <optional>
 #include <peer/state_exchange.h>
 #include <relay/crash_sharing.h>
 #include <relay/fleet_store.h>
@@ -14,7 +15,8 @@
 
 // Decides who reads the store. In each failure domain the daemons ask the first of them that works, by id; that one, or
 // each one for which none of those before it works, reads the store itself. A daemon that the store turns away asks any
-// other daemon.
+// other daemon. While the store is away for the daemons that read it, only a few of each failure domain go on looking
+// for it: hundreds that ask at once would cost more than they find out.
 class view_sharing final : public fleet_system {
 public:
     struct identity {
@@ -40,6 +42,8 @@
 private:
     std::optional<listed_peer> choosePeer(time_point now);
     bool works(const instance_id& peer, time_point now) const;
+    bool standsBack(time_point now) const;
+    void updateReading(time_point now);
     void ask(const listed_peer& peer, time_point now);
     void onReply(const instance_id& peer, const std::optional<std::string>& bytes, time_point asked);
     void fail(const instance_id& peer, const char* reason, time_point now);
@@ -82,6 +86,10 @@
     time_point m_askedAt {};
     time_point m_next {};
     size_t m_turn = 0;
+    bool m_reading = true;
+    // When a peer last answered with a view that was too old, and with one that was not.
+    std::optional<time_point> m_heardOldView;
+    std::optional<time_point> m_learnt;
     size_t m_failuresInARow = 0;
     std::shared_ptr<bool> m_alive;
 };
--- a/libs/relay/src/view_sharing.cpp
+++ b/libs/relay/src/view_sharing.cpp
@@ -13,6 +13,16 @@
 constexpr duration workLifetime = std::chrono::seconds(1);
 // Daemons before this one that are tried before it reads the store itself.
 constexpr size_t mostCandidates = 2;
+// Daemons of each failure domain that read the store whatever the others see of it.
+constexpr size_t steadyReaders = 3;
+// What a daemon with an old view says of the store is believed for so long. It may be asked again sooner.
+constexpr duration awayLifetime = std::chrono::seconds(2);
+constexpr duration oldViewPenalty = std::chrono::seconds(1);
+// A daemon that learns from any other one leaves the store alone for so long.
+constexpr duration learntLifetime = std::chrono::milliseconds(1500);
+// How often, and for how long, one that stands back looks whether the store answers it after all.
+constexpr duration lookInterval = std::chrono::seconds(4);
+constexpr duration lookSpan = std::chrono::milliseconds(400);
 
 } // namespace
 
@@ -40,6 +50,7 @@
         m_nextEntry = now + askInterval;
         enterWork(workBeside(m_self.id, now));
     }
+    updateReading(now);
     if (m_asked && now - m_askedAt > answerTimeout)
         fail(m_asked->id, "silent", now);
     if (m_asked || now < m_next)
@@ -66,14 +77,48 @@
         if (++candidates == mostCandidates)
             break;
     }
-    if (viewAge(now) < m_limits.ofStore || daemons.empty())
+    if ((viewAge(now) < m_limits.ofStore && !standsBack(now)) || daemons.empty())
         return std::nullopt;
-    for (size_t i = 0; i < daemons.size(); ++i) {
-        const listed_peer& daemon = daemons[++m_turn % daemons.size()];
+    // Those that read the store come first.
+    std::map<failure_domain_name, size_t> ranks;
+    std::vector<const listed_peer*> sources;
+    std::vector<const listed_peer*> others;
+    for (const listed_peer& daemon : daemons) {
+        const bool reads = ranks[daemon.failureDomain]++ < steadyReaders;
         if (daemon.id != m_self.id && works(daemon.id, now))
-            return daemon;
+            (reads ? sources : others).push_back(&daemon);
+    }
+    const auto& best = sources.empty() ? others : sources;
+    return best.empty() ? std::nullopt : std::optional(*best[++m_turn % best.size()]);
+}
+
+// Where others say that the store does not answer them, a few daemons of each failure domain go on reading it; the rest
+// ask these, and look themselves from time to time.
+bool view_sharing::standsBack(time_point now) const
+{
+    if (!m_heardOldView || now - *m_heardOldView >= awayLifetime)
+        return false;
+    size_t before = 0;
+    for (const listed_peer& daemon : m_store.daemons()) {
+        if (daemon.failureDomain == m_self.failureDomain && daemon.id < m_self.id)
+            ++before;
     }
-    return std::nullopt;
+    return before >= steadyReaders;
+}
+
+void view_sharing::updateReading(time_point now)
+{
+    const bool learns = m_learnt && now - *m_learnt < learntLifetime;
+    const duration shift(static_cast<duration::rep>(
+        std::hash<std::string>()(m_self.id.text()) % static_cast<size_t>(lookInterval.count())));
+    const bool looks = (now.time_since_epoch() + shift) % lookInterval < lookSpan;
+    const bool reading = m_upstream.empty() && (!standsBack(now) || (looks && !learns));
+    if (reading == m_reading)
+        return;
+    m_reading = reading;
+    m_store.setReading(reading);
+    m_rollouts.setReading(reading);
+    m_crashes.setReading(reading);
 }
 
 bool view_sharing::works(const instance_id& peer, time_point now) const
@@ -129,9 +174,12 @@
     }
     const std::vector<shared_topic*> topics = m_store.topics();
     if (reply.changes.size() != topics.size() || reply.changes.front().age > m_limits.ofPeers) {
+        m_heardOldView = now;
         fail(peer, "view too old", now);
+        m_penalties[peer] = { now + oldViewPenalty, 0 };
         return;
     }
+    m_learnt = now;
     for (size_t i = 0; i < topics.size(); ++i)
         topics[i]->apply(reply.changes[i], asked);
     for (const rollout_report& total : reply.totals)
@@ -164,9 +212,7 @@
     if (m_upstream == peer)
         return;
     m_upstream = peer;
-    m_store.setReading(peer.empty());
-    m_rollouts.setReading(peer.empty());
-    m_crashes.setReading(peer.empty());
+    updateReading(m_time.now());
     m_log.write(log_level::Info, "view_source", { { "upstream", peer.empty() ? std::string("store") : peer.text() } });
 }
 
--- a/libs/relay/tests/view_sharing_test.cpp
+++ b/libs/relay/tests/view_sharing_test.cpp
@@ -367,4 +367,59 @@
     EXPECT_LE(m_network.requests - before, usual);
 }
 
+// Pattern: forty daemons of one failure domain lose the store for ten seconds. All of them looked for it twice a second
+// each, which was most of what a day cost in calls.
+TEST_F(ViewSharingTest, WhileTheStoreIsAwayAFewDaemonsLookForItAndAllHaveItSoonAfter)
+{
+    std::vector<std::string> names;
+    for (int i = 10; i < 50; ++i)
+        names.push_back("c" + std::to_string(i));
+    addDaemons(names);
+    write("config", "1");
+    run(std::chrono::seconds(3));
+    for (const auto& [id, daemon] : m_daemons)
+        daemon->storeWorks = false;
+    run(std::chrono::seconds(3));
+    size_t reading = 0;
+    size_t looks = 0;
+    for (; looks < 140; ++looks) {
+        run(step);
+        reading += readers().size();
+    }
+    EXPECT_LE(reading / looks, 5U + 3U + 4U) << "both small domains, three of the large one and those that look";
+    EXPECT_GE(reading / looks, 3U);
+    for (const auto& [id, daemon] : m_daemons)
+        daemon->storeWorks = true;
+    write("config", "2");
+    run(std::chrono::milliseconds(1500));
+    for (const auto& [id, daemon] : m_daemons)
+        EXPECT_EQ(daemon->store.listener.values, (contents { { "config", "2" } })) << id;
+    run(std::chrono::seconds(3));
+    EXPECT_EQ(readers(), (ids { "a1", "b1", "c10" }));
+}
+
+// Pattern: the store turns a third of the daemons away, the first reader of the failure domain among them.
+TEST_F(ViewSharingTest, WhereTheStoreTurnsAThirdAwayTheOthersStillHaveItInTime)
+{
+    std::vector<std::string> names;
+    for (int i = 10; i < 50; ++i)
+        names.push_back("c" + std::to_string(i));
+    addDaemons(names);
+    write("config", "1");
+    run(std::chrono::seconds(3));
+    size_t turn = 0;
+    for (const auto& [id, daemon] : m_daemons)
+        daemon->storeWorks = turn++ % 3 != 0;
+    ASSERT_FALSE(at("a1").storeWorks);
+    ASSERT_FALSE(at("c11").storeWorks);
+    at("c10").storeWorks = false;
+    duration oldest { 0 };
+    for (int i = 0; i < 200; ++i) {
+        run(step);
+        for (const auto& [id, daemon] : m_daemons)
+            oldest = std::max(oldest, age(id.c_str()));
+    }
+    EXPECT_LT(oldest, std::chrono::milliseconds(3500)) << "keys are honoured for longer than that";
+}
+
 } // namespace pollen
