Test slow but sound streams, and stalled ones that trickle

Cause: operators of similar systems saw slow streams cut and stalled ones that never ended; no test of ours named either. Neither happens here: pauses of a second are looked into by a connection and pass, a stream that sends a byte every 50 ms ends at the caller's deadline and does not look complete. Conclusion: nothing to mend; the tests stay.

--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -219,6 +219,56 @@
     EXPECT_EQ(other.requests().size(), 1U);
 }
 
+// Guards against a fault that operators of similar systems met: slow but sound streams were cut. Pattern: pauses between
+// events longer than the time after which a silent server is looked at.
+TEST_F(RelayPathTest, ASlowButSoundStreamIsPassedOnWhole)
+{
+    std::vector<std::unique_ptr<timer>> timers;
+    backend_standin slow(m_loop, { [&](const std::shared_ptr<server_request>& request) {
+        request->startStream(200, answerHeaders(*request));
+        request->sendPart(event(1));
+        auto sent = std::make_shared<int>(1);
+        timers.push_back(std::make_unique<timer>(m_loop, [request, sent] {
+            if (*sent == 3)
+                return;
+            request->sendPart(event(++*sent));
+            if (*sent == 3)
+                request->endStream();
+        }));
+        timers.back()->startRepeating(std::chrono::milliseconds(1000));
+    } });
+    list("i-1", "advice", slow);
+    start();
+    http_request stream = request("POST", "/s/x", { { "Pollenroute-Model", "small" } });
+    for (auto& [name, value] : stream.headers) {
+        if (name == "Pollenroute-Deadline-Ms")
+            value = "4000";
+    }
+    const auto [result, response] = send(stream);
+    EXPECT_TRUE(result.ok());
+    EXPECT_EQ(response.body, event(1) + event(2) + event(3));
+    EXPECT_EQ(slow.requests().size(), 1U);
+}
+
+// And the other way about: stalled streams that sent a byte now and then never ended.
+TEST_F(RelayPathTest, AStalledStreamThatTricklesEndsAtItsDeadline)
+{
+    std::vector<std::unique_ptr<timer>> timers;
+    backend_standin stalled(m_loop, { [&](const std::shared_ptr<server_request>& request) {
+        request->startStream(200, answerHeaders(*request));
+        request->sendPart(event(1));
+        timers.push_back(std::make_unique<timer>(m_loop, [request] { request->sendPart(":"); }));
+        timers.back()->startRepeating(std::chrono::milliseconds(50));
+        request->setHangUpCallback([] {});
+    } });
+    list("i-1", "advice", stalled);
+    start();
+    const time_point sent = m_time.now();
+    const auto [result, response] = send(request("POST", "/s/x", { { "Pollenroute-Model", "small" } }));
+    EXPECT_FALSE(result.ok()) << "it must not look complete";
+    EXPECT_LT(m_time.now() - sent, std::chrono::milliseconds(2000)) << "the caller waits for 1.5 s";
+}
+
 TEST_F(RelayPathTest, TheLargestModelAnswersWhereASmallerOneDoubtsItself)
 {
     backend_standin engine(m_loop,
