Learn the first view from daemons before oneself, and let requests wait for it

Change: a daemon that starts announces itself, reads the list of daemons only, and asks those of its failure domain before it for 0.4 s before it reads the store itself. Requests wait up to 0.3 s for the first view instead of being refused. Tests: DaemonsThatStartTogetherReadTheStoreOnce..., ADaemonThatStartsWhereThoseBeforeItAreGone..., ARequestWaitsForTheFirstView....

--- a/libs/relay/include/relay/fleet_store.h
+++ b/libs/relay/include/relay/fleet_store.h
@@ -41,6 +41,8 @@
     virtual std::vector<listed_peer> daemons() const = 0;
     // Their number.
     virtual size_t daemonCount() const = 0;
+    // Whether the list of daemons has been read, which is done without being told to.
+    virtual bool daemonsKnown() const = 0;
 };
 
 } // namespace pollen
--- a/libs/relay/include/relay/view_sharing.h
+++ b/libs/relay/include/relay/view_sharing.h
@@ -42,7 +42,12 @@
 private:
     std::optional<listed_peer> choosePeer(time_point now);
     bool works(const instance_id& peer, time_point now) const;
+    // Daemons of the failure domain before this one.
+    size_t daemonsBefore() const;
     bool standsBack(time_point now) const;
+    // The view is not known yet, and others may be about to know it.
+    bool isStarting(time_point now) const;
+    bool shouldRead(time_point now) const;
     void updateReading(time_point now);
     void ask(const listed_peer& peer, time_point now);
     void onReply(const instance_id& peer, const std::optional<std::string>& bytes, time_point asked);
@@ -86,7 +91,8 @@
     time_point m_askedAt {};
     time_point m_next {};
     size_t m_turn = 0;
-    bool m_reading = true;
+    bool m_reading = false;
+    std::optional<time_point> m_started;
     // When a peer last answered with a view that was too old, and with one that was not.
     std::optional<time_point> m_heardOldView;
     std::optional<time_point> m_learnt;
--- a/libs/relay/src/admission.cpp
+++ b/libs/relay/src/admission.cpp
@@ -49,7 +49,7 @@
     admission found;
     found.configuration = dependencies.state.configuration();
     if (!found.configuration || !dependencies.state.serversKnown()) {
-        found.refused = refusal { statusUnavailable, "no_configuration", retryAfterStart };
+        found.refused = refusal { statusUnavailable, "no_configuration", retryAfterStart, true };
         return found;
     }
     const std::string host(findHeader(request.headers, "Host"));
--- a/libs/relay/src/admission.h
+++ b/libs/relay/src/admission.h
@@ -9,6 +9,8 @@
     int status;
     const char* type;
     std::optional<duration> retryAfter;
+    // The daemon does not know its fleet yet.
+    bool viewMissing = false;
 };
 
 // Where a request belongs, as far as that was found out.
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -24,6 +24,8 @@
 constexpr size_t largestDiscarded = 64U << 10;
 constexpr duration retryAfterFull = std::chrono::milliseconds(400);
 
+// How long a request waits for the first view of the fleet: within what callers allow for their request to be read.
+constexpr duration longestViewWait = std::chrono::milliseconds(300);
 // What a full server needs to work off a part of its queue; doubled each time.
 constexpr duration firstRoomPause = std::chrono::milliseconds(60);
 
@@ -55,17 +57,31 @@
 {
     m_onEnd = std::move(onEnd);
     m_traits = m_dependencies.protocol.readRequest(m_request->request());
+    m_request->setHangUpCallback([self = shared_from_this()] { self->onCallerGone(); });
+    proceed();
+}
+
+void relay_exchange::proceed()
+{
+    const time_point now = m_dependencies.time.now();
     m_admission = admit(m_dependencies, m_request->request(), m_traits, m_start);
+    // A daemon that has just started knows its fleet in a moment; its callers need not come back for that.
+    m_awaitsView = m_admission.refused && m_admission.refused->viewMissing && now - m_start < longestViewWait;
+    if (m_awaitsView)
+        return;
     if (m_admission.refused) {
         refuse(m_admission.refused->status, m_admission.refused->type, m_admission.refused->retryAfter);
         return;
     }
-    m_request->setHangUpCallback([self = shared_from_this()] { self->onCallerGone(); });
     attempt();
 }
 
 void relay_exchange::tick(time_point now)
 {
+    if (m_awaitsView) {
+        proceed();
+        return;
+    }
     if (m_sendAgainAt && now >= *m_sendAgainAt) {
         m_sendAgainAt.reset();
         attempt();
@@ -91,6 +107,7 @@
 void relay_exchange::abandon()
 {
     m_onEnd = nullptr;
+    m_awaitsView = false;
     m_sendAgainAt.reset();
     m_exchange.reset();
     releaseServer();
@@ -568,6 +585,7 @@
 void relay_exchange::onCallerGone()
 {
     const auto self = shared_from_this();
+    m_awaitsView = false;
     m_sendAgainAt.reset();
     m_exchange.reset();
     releaseServer();
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -44,6 +44,8 @@
     void onFinished(const exchange_result& result) override;
 
     void attempt();
+    // Admits the request and makes its first attempt, as soon as the fleet is known.
+    void proceed();
     void waitForRoom(placement_request placement, const relay_service& service);
     void send(const placement_choice& choice, const placement_request& placement);
     duration timeLeft() const;
@@ -118,6 +120,8 @@
     // Index of the model that answers, among those of the route.
     size_t m_model = 0;
     std::vector<server_handle> m_tried;
+    // The daemon has just started and knows no configuration yet.
+    bool m_awaitsView = false;
     // Until when the request waits for room on a server, and how often it has.
     std::optional<time_point> m_sendAgainAt;
     int m_roomWaits = 0;
--- a/libs/relay/src/view_sharing.cpp
+++ b/libs/relay/src/view_sharing.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <relay/view_sharing.h>
 
 namespace pollen {
@@ -20,6 +21,10 @@
 constexpr duration oldViewPenalty = std::chrono::seconds(1);
 // A daemon that learns from any other one leaves the store alone for so long.
 constexpr duration learntLifetime = std::chrono::milliseconds(1500);
+// A daemon that starts waits for so long for the view of one before it, which may be starting as well and is asked
+// again soon.
+constexpr duration startPatience = std::chrono::milliseconds(400);
+constexpr duration startPause = std::chrono::milliseconds(50);
 // How often, and for how long, one that stands back looks whether the store answers it after all.
 constexpr duration lookInterval = std::chrono::seconds(4);
 constexpr duration lookSpan = std::chrono::milliseconds(400);
@@ -41,6 +46,8 @@
     , m_log(log)
     , m_alive(std::make_shared<bool>(true))
 {
+    m_rollouts.setReading(false);
+    m_crashes.setReading(false);
     m_exchange.setSource([this](const std::string& bytes) { return answer(bytes); });
 }
 
@@ -58,7 +65,7 @@
     const auto peer = choosePeer(now);
     if (!peer) {
         setUpstream({});
-        m_next = now + askInterval;
+        m_next = now + (isStarting(now) ? startPause : askInterval);
         return;
     }
     ask(*peer, now);
@@ -92,27 +99,47 @@
     return best.empty() ? std::nullopt : std::optional(*best[++m_turn % best.size()]);
 }
 
+size_t view_sharing::daemonsBefore() const
+{
+    const std::vector<listed_peer> daemons = m_store.daemons();
+    return static_cast<size_t>(std::count_if(daemons.begin(), daemons.end(), [&](const listed_peer& daemon) {
+        return daemon.failureDomain == m_self.failureDomain && daemon.id < m_self.id;
+    }));
+}
+
 // Where others say that the store does not answer them, a few daemons of each failure domain go on reading it; the rest
 // ask these, and look themselves from time to time.
 bool view_sharing::standsBack(time_point now) const
 {
-    if (!m_heardOldView || now - *m_heardOldView >= awayLifetime)
-        return false;
-    size_t before = 0;
-    for (const listed_peer& daemon : m_store.daemons()) {
-        if (daemon.failureDomain == m_self.failureDomain && daemon.id < m_self.id)
-            ++before;
-    }
-    return before >= steadyReaders;
+    return m_heardOldView && now - *m_heardOldView < awayLifetime && daemonsBefore() >= steadyReaders;
 }
 
-void view_sharing::updateReading(time_point now)
+bool view_sharing::isStarting(time_point now) const
 {
+    const std::vector<shared_topic*> topics = m_store.topics();
+    return !topics.empty() && !topics.front()->known() && (!m_started || now - *m_started < startPatience);
+}
+
+bool view_sharing::shouldRead(time_point now) const
+{
+    if (!m_upstream.empty())
+        return false;
     const bool learns = m_learnt && now - *m_learnt < learntLifetime;
+    const bool waits = isStarting(now) && !m_store.daemonsKnown();
+    if (waits || ((learns || isStarting(now)) && daemonsBefore() > 0))
+        return false;
+    if (!standsBack(now))
+        return true;
     const duration shift(static_cast<duration::rep>(
         std::hash<std::string>()(m_self.id.text()) % static_cast<size_t>(lookInterval.count())));
-    const bool looks = (now.time_since_epoch() + shift) % lookInterval < lookSpan;
-    const bool reading = m_upstream.empty() && (!standsBack(now) || (looks && !learns));
+    return (now.time_since_epoch() + shift) % lookInterval < lookSpan;
+}
+
+void view_sharing::updateReading(time_point now)
+{
+    if (!m_started)
+        m_started = now;
+    const bool reading = shouldRead(now);
     if (reading == m_reading)
         return;
     m_reading = reading;
@@ -162,6 +189,8 @@
     const time_point now = m_time.now();
     if (!bytes) {
         fail(peer, "no answer", now);
+        if (isStarting(now))
+            m_penalties[peer] = { now + startPause, 0 };
         return;
     }
     view_reply reply;
@@ -179,7 +208,6 @@
         m_penalties[peer] = { now + oldViewPenalty, 0 };
         return;
     }
-    m_learnt = now;
     for (size_t i = 0; i < topics.size(); ++i)
         topics[i]->apply(reply.changes[i], asked);
     for (const rollout_report& total : reply.totals)
@@ -193,7 +221,10 @@
     m_next = asked + askInterval;
     // A daemon that was asked only because the store is out of reach does not take the store's place.
     const auto usual = choosePeer(now);
-    setUpstream(usual && usual->id == peer && usual->id < m_self.id ? peer : instance_id());
+    const bool isUpstream = usual && usual->id == peer && usual->id < m_self.id;
+    if (!isUpstream)
+        m_learnt = now;
+    setUpstream(isUpstream ? peer : instance_id());
 }
 
 void view_sharing::fail(const instance_id& peer, const char* reason, time_point now)
--- a/libs/relay/tests/view_sharing_test.cpp
+++ b/libs/relay/tests/view_sharing_test.cpp
@@ -422,4 +422,37 @@
     EXPECT_LT(oldest, std::chrono::milliseconds(3500)) << "keys are honoured for longer than that";
 }
 
+// Pattern: all daemons start at the same moment. Each of them read the whole view from the store.
+TEST_F(ViewSharingTest, DaemonsThatStartTogetherReadTheStoreOnceForEachFailureDomain)
+{
+    std::vector<std::string> names;
+    for (int i = 10; i < 50; ++i)
+        names.push_back("c" + std::to_string(i));
+    addDaemons(names);
+    write("config", "1");
+    ids everRead;
+    for (int i = 0; i < 10; ++i) {
+        run(step);
+        everRead.merge(readers());
+    }
+    EXPECT_EQ(everRead, (ids { "a1", "b1", "c10" }));
+    for (const auto& [id, daemon] : m_daemons) {
+        daemon->table.order({ service_name("s"), version_name("v2"), std::chrono::seconds(20) }, m_time.now());
+        daemon->rollouts.tick(m_time.now());
+        EXPECT_EQ(daemon->store.reports.empty(), !everRead.contains(id)) << id << ": only readers report to the store";
+    }
+    for (const auto& [id, daemon] : m_daemons)
+        EXPECT_EQ(daemon->store.listener.values, (contents { { "config", "1" } })) << id;
+}
+
+TEST_F(ViewSharingTest, ADaemonThatStartsWhereThoseBeforeItAreGoneReadsTheStoreSoon)
+{
+    m_network.down = { at("a1").listed.address, at("a2").listed.address };
+    for (const char* gone : { "a1", "a2", "b1", "b2" })
+        at(gone).storeWorks = false;
+    write("config", "1");
+    run(std::chrono::milliseconds(600));
+    EXPECT_EQ(at("a3").store.listener.values, (contents { { "config", "1" } }));
+}
+
 } // namespace pollen
--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -166,6 +166,17 @@
     EXPECT_LT(std::stod(std::string(findHeader(response.headers, "Retry-After"))), 0.3);
 }
 
+// Pattern: all daemons of the fleet restart; what their callers send at once arrives before the first view.
+TEST_F(RelayPathTest, ARequestWaitsForTheFirstViewOfTheFleet)
+{
+    backend_standin desk(m_loop, { answers(200, "done") });
+    list("i-1", "desk", desk);
+    m_store.put("keyed.op", "config", configuration(1));
+    timer late(m_loop, [this] { m_relay.start(); });
+    late.startOnce(std::chrono::milliseconds(100));
+    EXPECT_EQ(send(request("GET", "/r/x")).response.body, "done");
+}
+
 TEST_F(RelayPathTest, ARefusalSaysThatNothingRanAndWhenToReturn)
 {
     backend_standin full(m_loop, { isFull });
@@ -219,8 +230,8 @@
     EXPECT_EQ(other.requests().size(), 1U);
 }
 
-// Guards against a fault that operators of similar systems met: slow but sound streams were cut. Pattern: pauses between
-// events longer than the time after which a silent server is looked at.
+// Guards against a fault that operators of similar systems met: slow but sound streams were cut. Pattern: pauses
+// between events longer than the time after which a silent server is looked at.
 TEST_F(RelayPathTest, ASlowButSoundStreamIsPassedOnWhole)
 {
     std::vector<std::unique_ptr<timer>> timers;
