--- a/libs/relay/src/usual_latency.cpp
+++ b/libs/relay/src/usual_latency.cpp
@@ -22,7 +22,7 @@
 // Where the bound starts, from the first latency of a kind.
 constexpr double firstFactor = 2;
 // Latencies that are so many times as long as the bound are very slow.
-constexpr double verySlowFactor = 2.5;
+constexpr double verySlowFactor = 1.6;
 
 } // namespace
 
