--- a/libs/relay/tests/rollout_test.cpp
+++ b/libs/relay/tests/rollout_test.cpp
@@ -386,6 +386,7 @@
         usual.count({ service.text(), 0 }, std::chrono::milliseconds(400 + i), 0);
     daemon.table.order({ service, target, allowed }, start);
     std::vector<first_byte_timer> timers;
+    timers.reserve(60);
     for (int i = 0; i < 60; ++i)
         timers.emplace_back(usual, daemon.table, daemon.system);
     constexpr duration tick = std::chrono::milliseconds(50);
