--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -58,7 +58,7 @@
     , m_serverEnds(m_crashes, m_state, m_probe, m_metrics, m_failureLogBudget, time, log)
     , m_shared { loop, time, m_random, log, m_client, m_probe, m_protocol, settings.failureDomain, m_state, m_rollouts,
         m_rolloutSystem, m_sessions, m_servers, m_crashes, m_serverEnds, m_escalation, m_largestPace, m_repeats,
-        m_answerMemory, m_metrics, m_logBudget, m_failureLogBudget, m_usualLatency }
+        m_rateLimits, m_answerMemory, m_metrics, m_logBudget, m_failureLogBudget, m_usualLatency }
     , m_gateway(m_shared)
 {
 }
@@ -76,6 +76,7 @@
     m_nextSweep = now + sweepInterval;
     m_state.servers().sweep();
     m_sessions.removeExpired(now);
+    m_rateLimits.removeExpired(m_state.servers(), now);
 }
 
 std::string platform_relay::renderMetrics()
--- a/apps/pollenrouted/platform_relay.h
+++ b/apps/pollenrouted/platform_relay.h
@@ -55,6 +55,7 @@
     escalation_control m_escalation;
     answer_time_estimator m_largestPace;
     fleet_retry_budget m_repeats;
+    server_rate_limits m_rateLimits;
     memory_budget m_answerMemory;
     relay_metrics m_metrics;
     log_budget m_logBudget;
--- a/libs/relay/include/relay/relay_dependencies.h
+++ b/libs/relay/include/relay/relay_dependencies.h
@@ -17,6 +17,7 @@
 #include <relay/relay_protocol.h>
 #include <relay/relay_state.h>
 #include <relay/rollout_system.h>
+#include <relay/server_rate_limits.h>
 #include <relay/session_versions.h>
 
 namespace pollen {
@@ -41,6 +42,7 @@
     escalation_control& escalation;
     answer_time_estimator& largestModelPace;
     fleet_retry_budget& repeats;
+    server_rate_limits& rateLimits;
     // Bounds the memory of answers that are buffered whole before they are forwarded.
     memory_budget& answerMemory;
     relay_metrics& metrics;
--- a/libs/relay/include/relay/relay_metrics.h
+++ b/libs/relay/include/relay/relay_metrics.h
@@ -20,6 +20,8 @@
     void countOutcome(
         const std::string& route, const std::string& team, const std::string& outcome, const std::string& reason);
     void countSend(const std::string& service);
+    // A request sent to a server that has named a rate limit.
+    void countLimitedSend(const std::string& service);
     // A repeat is a further attempt of a request that has already reached a server. outcome: "sent", or "denied" if
     // the repeat allowance is exhausted.
     void countRepeat(const std::string& service, const std::string& outcome);
@@ -38,6 +40,7 @@
     prometheus::Registry m_registry;
     prometheus::Family<prometheus::Counter>& m_outcomes;
     prometheus::Family<prometheus::Counter>& m_sends;
+    prometheus::Family<prometheus::Counter>& m_limitedSends;
     prometheus::Family<prometheus::Counter>& m_repeats;
     prometheus::Family<prometheus::Counter>& m_serverCrashes;
     prometheus::Family<prometheus::Histogram>& m_latency;
--- a/libs/relay/include/relay/relay_protocol.h
+++ b/libs/relay/include/relay/relay_protocol.h
@@ -59,6 +59,10 @@
     // The server accepts no further requests on this connection, for example because it is shutting down.
     bool closing = false;
     std::optional<load_report> load;
+    // Requests a second that the server accepts from all daemons together, for as long as it states it.
+    std::optional<double> rateLimit;
+    // The server states a limit that cannot be read; a known limit stays in force.
+    bool rateLimitUnreadable = false;
     // The model's confidence in its answer, 0 to 1.
     std::optional<double> confidence;
 
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -224,6 +224,8 @@
     if (m_countsAsNonTarget)
         m_dependencies.rolloutSystem.addOtherVersionRequest(m_service);
     m_dependencies.metrics.countSend(m_service.text());
+    if (m_dependencies.rateLimits.find(m_serverId))
+        m_dependencies.metrics.countLimitedSend(m_service.text());
     forwarding_parameters order;
     order.server = m_serverId;
     order.timeLeft = timeLeft();
@@ -269,6 +271,7 @@
         servers.reportFailure(*m_server, now);
         m_dependencies.servers.forget(m_serverId);
     }
+    recordRateLimit(now);
     const bool notRun = m_answer.notRun || m_answer.misdirected;
     if (!notRun) {
         m_execution = execution_state::MayHaveRun;
@@ -285,6 +288,24 @@
         m_headers = m_dependencies.protocol.makeCallerHeaders(headers);
 }
 
+void relay_exchange::recordRateLimit(time_point now)
+{
+    // A misdirected request was answered by another server.
+    if (m_answer.misdirected)
+        return;
+    if (m_answer.rateLimitUnreadable) {
+        m_dependencies.log.write(log_level::Warning, "server_limit_unreadable",
+            { { "server", m_serverId.text() }, { "request", m_traits.id.text() } });
+        return;
+    }
+    const auto previous = m_dependencies.rateLimits.find(m_serverId);
+    if (m_dependencies.rateLimits.recordAnswer(m_serverId, m_answer.rateLimit, m_sentAt, now))
+        m_dependencies.log.write(log_level::Info, "server_limit",
+            { { "server", m_serverId.text() }, { "service", m_service.text() }, { "request", m_traits.id.text() },
+                { "previous", previous.value_or(0) }, { "limit", m_answer.rateLimit.value_or(0) },
+                { "named", m_answer.rateLimit.has_value() } });
+}
+
 // Sends the request to the largest model if the current model reports low confidence, nothing of its answer has been
 // forwarded, and the largest model is expected to begin within the latency objective and to finish before the deadline.
 bool relay_exchange::tryEscalation()
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -55,6 +55,8 @@
     // The caller's estimate of the tokens to be generated, or else their maximum.
     uint32_t expectedTokens() const;
     void recordAnswerPace();
+    // Records the rate limit that the server names in its answer, or that it names none.
+    void recordRateLimit(time_point now);
 
     bool isStreamAnswer() const { return m_admission.route->streaming && m_status == 200; }
     bool hasAttemptsLeft() const;
--- a/libs/relay/src/relay_metrics.cpp
+++ b/libs/relay/src/relay_metrics.cpp
@@ -19,6 +19,10 @@
                   .Name("pollen_relay_sends_total")
                   .Help("Requests sent to servers, repeats included")
                   .Register(m_registry))
+    , m_limitedSends(prometheus::BuildCounter()
+                         .Name("pollen_relay_limited_sends_total")
+                         .Help("Requests sent to servers that have named a rate limit, repeats included")
+                         .Register(m_registry))
     , m_repeats(prometheus::BuildCounter()
                     .Name("pollen_relay_repeats_total")
                     .Help("Requests to be sent once more after they had arrived at a server")
@@ -68,6 +72,11 @@
 
 void relay_metrics::countSend(const std::string& service) { m_sends.Add({ { "service", service } }).Increment(); }
 
+void relay_metrics::countLimitedSend(const std::string& service)
+{
+    m_limitedSends.Add({ { "service", service } }).Increment();
+}
+
 void relay_metrics::countRepeat(const std::string& service, const std::string& outcome)
 {
     m_repeats.Add({ { "service", service }, { "outcome", outcome } }).Increment();
--- /dev/null
+++ b/libs/relay/src/server_rate_limits.cpp
@@ -0,0 +1,62 @@
+#include <relay/server_rate_limits.h>
+
+#include <algorithm>
+
+namespace pollen {
+
+namespace {
+
+// All daemons of a failure domain exchange their notices several times within this time.
+constexpr duration endedLimitLifetime = std::chrono::seconds(5);
+
+} // namespace
+
+bool server_rate_limits::recordAnswer(
+    const instance_id& server, std::optional<double> limit, time_point sentAt, time_point now)
+{
+    const auto known = m_statements.find(server);
+    if (!limit && (known == m_statements.end() || !known->second.limit || sentAt <= known->second.statedAt))
+        return false;
+    const bool changed = known == m_statements.end() || known->second.limit != limit;
+    m_statements[server] = { limit, now };
+    return changed;
+}
+
+bool server_rate_limits::merge(const rate_limit_notice& notice, time_point now)
+{
+    const time_point statedAt = now - std::max(notice.age, duration(0));
+    const auto known = m_statements.find(notice.server);
+    if (known == m_statements.end() && !notice.limit)
+        return false;
+    if (known != m_statements.end() && known->second.statedAt >= statedAt)
+        return false;
+    const bool changed = known == m_statements.end() || known->second.limit != notice.limit;
+    m_statements[notice.server] = { notice.limit, statedAt };
+    return changed;
+}
+
+std::optional<double> server_rate_limits::find(const instance_id& server) const
+{
+    const auto known = m_statements.find(server);
+    return known == m_statements.end() ? std::nullopt : known->second.limit;
+}
+
+std::vector<rate_limit_notice> server_rate_limits::notices(time_point now) const
+{
+    std::vector<rate_limit_notice> notices;
+    notices.reserve(m_statements.size());
+    for (const auto& [server, known] : m_statements)
+        notices.push_back({ server, known.limit, now - known.statedAt });
+    return notices;
+}
+
+void server_rate_limits::removeExpired(const server_table& servers, time_point now)
+{
+    std::erase_if(m_statements, [&](const auto& item) {
+        const auto& [server, known] = item;
+        const bool isInForce = known.limit && servers.isListed(server);
+        return !isInForce && now - known.statedAt > endedLimitLifetime;
+    });
+}
+
+} // namespace pollen
