Keep to the rate limits of servers with the sum of all daemons

What callers and operators saw: a server in need named the requests a second that it takes from all daemons together, and got up to 15 in 4 s where 11 are allowed; it answered more slowly. Cause: nobody read the limit; and nothing in the design could have kept it, as each daemon decides by itself. Change: permits. A request whose best server has a limit asks for a permit for that server or the next ones; where the own domain has none, one other domain is asked. Without a permit another server takes the request, or it is refused at once, not run. All sends pass: first ones, retries, trials; escalations leave limited servers alone. Daemons tell each other the limits with the fleet state. The store is not needed. Permits travel over the exchange between daemons, which has channels now.

--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -13,6 +13,9 @@
 constexpr duration storeAgeMargin = std::chrono::milliseconds(1000);
 // The platform's settings hold no secret that only daemons know; the tag of a frame only shows that it is whole.
 constexpr const char* peerSecret = "pollenroute";
+// Prefixes of the messages between daemons. Those of fleet_sync begin with a byte for the byte order, 0 or 1.
+constexpr const char* fleetSyncChannel = "";
+constexpr const char* permitChannel = "permit:";
 // Within the 32 MB that the users give a daemon for control; the smallest instance of today has 88 MB.
 constexpr size_t answerMemoryBytes = 16U << 20;
 constexpr double logLinesPerSecond = 10;
@@ -46,9 +49,13 @@
           exposure_limit { settings.exposureShare, settings.exposureSlack }, log)
     , m_crashes(settings.id)
     , m_crashSharing(m_crashes, m_store, time, log)
+    , m_rateLimits(m_random)
     , m_exchange(loop, settings.peers, peerSecret, log)
+    , m_channels(m_exchange)
     , m_sharing({ settings.id, settings.failureDomain }, ageLimits(settings), m_store, m_state.servers(),
-          m_rolloutSystem, m_crashes, m_crashSharing, m_exchange, time, log)
+          m_rolloutSystem, m_crashes, m_crashSharing, m_rateLimits, m_channels.open(fleetSyncChannel), time, log)
+    , m_permits(
+          { settings.id, settings.failureDomain }, m_store, m_rateLimits, m_channels.open(permitChannel), time, log)
     , m_sessions(settings.sessionIdle)
     , m_servers(m_random)
     , m_repeats({ settings.retryShare, settings.retrySlack, settings.retryWindow })
@@ -58,7 +65,7 @@
     , m_serverEnds(m_crashes, m_state, m_probe, m_metrics, m_failureLogBudget, time, log)
     , m_shared { loop, time, m_random, log, m_client, m_probe, m_protocol, settings.failureDomain, m_state, m_rollouts,
         m_rolloutSystem, m_sessions, m_servers, m_crashes, m_serverEnds, m_escalation, m_largestPace, m_repeats,
-        m_rateLimits, m_answerMemory, m_metrics, m_logBudget, m_failureLogBudget, m_usualLatency }
+        m_rateLimits, m_permits, m_answerMemory, m_metrics, m_logBudget, m_failureLogBudget, m_usualLatency }
     , m_gateway(m_shared)
 {
 }
@@ -66,6 +73,7 @@
 void platform_relay::tick(time_point now)
 {
     m_sharing.tick(now);
+    m_permits.tick(now);
     m_rolloutSystem.tick(now);
     m_serverEnds.tick(now);
     m_crashSharing.tick(now);
--- a/apps/pollenrouted/platform_relay.h
+++ b/apps/pollenrouted/platform_relay.h
@@ -3,6 +3,7 @@
 #include <adapter/platform_protocol.h>
 #include <adapter/platform_store.h>
 #include <http/connection_probe.h>
+#include <peer/exchange_channels.h>
 #include <peer/tcp_state_exchange.h>
 #include <relay/fleet_sync.h>
 #include <relay/relay_gateway.h>
@@ -48,14 +49,16 @@
     rollout_system m_rolloutSystem;
     crash_table m_crashes;
     crash_publisher m_crashSharing;
+    server_rate_limits m_rateLimits;
     tcp_state_exchange m_exchange;
+    exchange_channels m_channels;
     fleet_sync m_sharing;
+    permit_system m_permits;
     session_versions m_sessions;
     placement m_servers;
     escalation_control m_escalation;
     answer_time_estimator m_largestPace;
     fleet_retry_budget m_repeats;
-    server_rate_limits m_rateLimits;
     memory_budget m_answerMemory;
     relay_metrics m_metrics;
     log_budget m_logBudget;
--- a/libs/relay/include/relay/fleet_sync.h
+++ b/libs/relay/include/relay/fleet_sync.h
@@ -31,9 +31,11 @@
         duration maximumOwnAge { 0 };
     };
 
-    // servers: receives the pending work of other daemons. crashTable: receives their crash reports.
+    // servers: receives the pending work of other daemons. crashTable: receives their crash reports. rateLimits:
+    // receives the rate limits that they know.
     fleet_sync(identity self, age_limits limits, fleet_store& store, server_table& servers, rollout_system& rollouts,
-        crash_table& crashTable, crash_publisher& crashes, state_exchange& exchange, const clock& time, logger& log);
+        crash_table& crashTable, crash_publisher& crashes, server_rate_limits& rateLimits, state_exchange& exchange,
+        const clock& time, logger& log);
 
     void tick(time_point now) override;
 
@@ -79,6 +81,7 @@
     rollout_system& m_rollouts;
     crash_table& m_crashTable;
     crash_publisher& m_crashes;
+    server_rate_limits& m_rateLimits;
     state_exchange& m_exchange;
     const clock& m_time;
     logger& m_log;
--- a/libs/relay/include/relay/fleet_sync_message.h
+++ b/libs/relay/include/relay/fleet_sync_message.h
@@ -3,6 +3,7 @@
 #include <base/error.h>
 #include <relay/crash_report.h>
 #include <relay/rollout.h>
+#include <relay/server_rate_limits.h>
 #include <relay/shared_topic.h>
 
 namespace pollen {
@@ -34,6 +35,8 @@
     std::vector<server_work> work;
     // The sender's reports of requests that crashed servers, as far as the store does not hold them yet.
     std::vector<crash_report> crashes;
+    // The rate limits that servers have named, as far as the sender knows.
+    std::vector<rate_limit_notice> rateLimits;
 
     friend bool operator==(const fleet_sync_request&, const fleet_sync_request&) = default;
 };
@@ -47,6 +50,8 @@
     std::vector<server_work> work;
     // Reports of the group on requests that crashed servers, as far as the store does not hold them yet.
     std::vector<crash_report> crashes;
+    // The rate limits that servers have named, as far as the group knows.
+    std::vector<rate_limit_notice> rateLimits;
 
     friend bool operator==(const fleet_sync_reply&, const fleet_sync_reply&) = default;
 };
--- a/libs/relay/include/relay/relay_dependencies.h
+++ b/libs/relay/include/relay/relay_dependencies.h
@@ -12,6 +12,7 @@
 #include <relay/latency_baseline.h>
 #include <relay/log_budget.h>
 #include <relay/memory_budget.h>
+#include <relay/permit_system.h>
 #include <relay/placement.h>
 #include <relay/relay_metrics.h>
 #include <relay/relay_protocol.h>
@@ -43,6 +44,7 @@
     answer_time_estimator& largestModelPace;
     fleet_retry_budget& repeats;
     server_rate_limits& rateLimits;
+    permit_system& permits;
     // Bounds the memory of answers that are buffered whole before they are forwarded.
     memory_budget& answerMemory;
     relay_metrics& metrics;
--- a/libs/relay/include/relay/relay_metrics.h
+++ b/libs/relay/include/relay/relay_metrics.h
@@ -22,6 +22,8 @@
     void countSend(const std::string& service);
     // A request sent to a server that has named a rate limit.
     void countLimitedSend(const std::string& service);
+    // A request for a permit to use a server that has named a rate limit.
+    void countPermit(const std::string& service, bool granted);
     // A repeat is a further attempt of a request that has already reached a server. outcome: "sent", or "denied" if
     // the repeat allowance is exhausted.
     void countRepeat(const std::string& service, const std::string& outcome);
@@ -41,6 +43,7 @@
     prometheus::Family<prometheus::Counter>& m_outcomes;
     prometheus::Family<prometheus::Counter>& m_sends;
     prometheus::Family<prometheus::Counter>& m_limitedSends;
+    prometheus::Family<prometheus::Counter>& m_permits;
     prometheus::Family<prometheus::Counter>& m_repeats;
     prometheus::Family<prometheus::Counter>& m_serverCrashes;
     prometheus::Family<prometheus::Histogram>& m_latency;
--- a/libs/relay/include/relay/server_rate_limits.h
+++ b/libs/relay/include/relay/server_rate_limits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/clock.h>
+#include <base/random_source.h>
 #include <base/typed_id.h>
 #include <fleet/server_table.h>
 #include <optional>
@@ -12,6 +13,9 @@
 // The last statement of a server about the rate of requests that it accepts from all daemons together.
 struct rate_limit_notice {
     instance_id server;
+    // Random; recognizes a statement that comes back from another daemon, where its age is inexact by the time on the
+    // way.
+    uint64_t statement = 0;
     // Requests a second; none if the server no longer names a limit.
     std::optional<double> limit;
     // Time since the answer with the statement arrived.
@@ -23,20 +27,26 @@
 // The rate limits that servers have named, from answers to this daemon and from notices of other daemons.
 class server_rate_limits {
 public:
+    explicit server_rate_limits(random_source& random)
+        : m_random(random)
+    {
+    }
+
     // Records the limit named in an answer that arrived now, or that the answer names none. sentAt: when the request
     // was sent. An answer without a limit ends a known limit only if its request was sent after that limit was last
     // named, because answers overtake each other. Returns whether the limit has changed.
     bool recordAnswer(const instance_id& server, std::optional<double> limit, time_point sentAt, time_point now);
 
-    // Applies a notice of another daemon unless a newer statement is known. Returns whether the limit has changed.
-    bool merge(const rate_limit_notice& notice, time_point now);
+    // Applies a notice of another daemon unless this or a newer statement is known. receivedAt: may be too early, not
+    // too late by more than the time on the way. Returns whether the limit has changed.
+    bool merge(const rate_limit_notice& notice, time_point receivedAt);
 
     // Requests a second; none if the server has named no limit.
     std::optional<double> find(const instance_id& server) const;
 
     bool empty() const { return m_statements.empty(); }
 
-    // For other daemons; includes limits that ended recently.
+    // The last statements, for other daemons; includes limits that ended recently.
     std::vector<rate_limit_notice> notices(time_point now) const;
 
     // Forgets the limits of servers that are no longer listed, and those that ended long enough ago for other daemons
@@ -45,10 +55,12 @@
 
 private:
     struct statement {
+        uint64_t id = 0;
         std::optional<double> limit;
         time_point statedAt;
     };
 
+    random_source& m_random;
     std::unordered_map<instance_id, statement> m_statements;
 };
 
--- a/libs/relay/src/fleet_sync.cpp
+++ b/libs/relay/src/fleet_sync.cpp
@@ -33,8 +33,8 @@
 } // namespace
 
 fleet_sync::fleet_sync(identity self, age_limits limits, fleet_store& store, server_table& servers,
-    rollout_system& rollouts, crash_table& crashTable, crash_publisher& crashes, state_exchange& exchange,
-    const clock& time, logger& log)
+    rollout_system& rollouts, crash_table& crashTable, crash_publisher& crashes, server_rate_limits& rateLimits,
+    state_exchange& exchange, const clock& time, logger& log)
     : m_self(std::move(self))
     , m_limits(limits)
     , m_store(store)
@@ -42,6 +42,7 @@
     , m_rollouts(rollouts)
     , m_crashTable(crashTable)
     , m_crashes(crashes)
+    , m_rateLimits(rateLimits)
     , m_exchange(exchange)
     , m_time(time)
     , m_log(log)
@@ -174,6 +175,7 @@
     request.reports = m_rollouts.groupReports(now);
     request.work = ownWork();
     request.crashes = m_crashTable.ownUnstored();
+    request.rateLimits = m_rateLimits.notices(now);
     m_requestedPeer = peer;
     m_requestedAt = now;
     const uint64_t requestNumber = ++m_requestNumber;
@@ -216,6 +218,8 @@
     applyPeerWork(reply.work);
     for (const crash_report& report : reply.crashes)
         m_crashTable.merge(report, false);
+    for (const rate_limit_notice& notice : reply.rateLimits)
+        m_rateLimits.merge(notice, requestedAt);
     m_penalties.erase(peer);
     m_consecutiveFailures = 0;
     m_requestedPeer.reset();
@@ -307,10 +311,13 @@
             m_rollouts.receiveMemberReport(report, now);
         for (const crash_report& report : request.crashes)
             m_crashTable.merge(report, false);
+        for (const rate_limit_notice& notice : request.rateLimits)
+            m_rateLimits.merge(notice, now);
         m_members[request.sender] = { request.work, now };
         reply.totals = m_rollouts.totalReports(now);
         reply.work = workExcluding(request.sender, now);
         reply.crashes = m_crashTable.unstored();
+        reply.rateLimits = m_rateLimits.notices(now);
         return encodeFleetSyncReply(reply);
     } catch (const fleet_sync_error& problem) {
         m_log.write(log_level::Warning, "view_request_unreadable", { { "problem", problem.what() } });
--- a/libs/relay/src/fleet_sync_message.cpp
+++ b/libs/relay/src/fleet_sync_message.cpp
@@ -1,24 +1,9 @@
 #include <relay/fleet_sync_message.h>
 
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/chrono.hpp>
-#include <cereal/types/optional.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
-#include <sstream>
+#include "message_codec.h"
 
 namespace pollen {
 
-// cereal finds these by name. An id is written as its text.
-template <typename Archive, typename Tag> void save(Archive& archive, const typed_id<Tag>& id) { archive(id.text()); }
-
-template <typename Archive, typename Tag> void load(Archive& archive, typed_id<Tag>& id)
-{
-    std::string text;
-    archive(text);
-    id = typed_id<Tag>(std::move(text));
-}
-
 template <typename Archive> void serialize(Archive& archive, topic_record& record)
 {
     archive(record.key, record.value, record.offset);
@@ -74,49 +59,25 @@
 
 template <typename Archive> void serialize(Archive& archive, fleet_sync_request& request)
 {
-    archive(request.positions, request.sender, request.reports, request.work, request.crashes);
+    archive(request.positions, request.sender, request.reports, request.work, request.crashes, request.rateLimits);
 }
 
 template <typename Archive> void serialize(Archive& archive, fleet_sync_reply& reply)
 {
-    archive(reply.changes, reply.totals, reply.work, reply.crashes);
+    archive(reply.changes, reply.totals, reply.work, reply.crashes, reply.rateLimits);
 }
 
-namespace {
+std::string encodeFleetSyncRequest(const fleet_sync_request& request) { return encodeMessage(request); }
+std::string encodeFleetSyncReply(const fleet_sync_reply& reply) { return encodeMessage(reply); }
 
-template <typename Message> std::string encode(const Message& message)
+fleet_sync_request decodeFleetSyncRequest(const std::string& bytes)
 {
-    std::ostringstream stream;
-    {
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(message);
-    }
-    return stream.str();
+    return decodeMessage<fleet_sync_request, fleet_sync_error>(bytes);
 }
 
-template <typename Message> Message decode(const std::string& bytes)
+fleet_sync_reply decodeFleetSyncReply(const std::string& bytes)
 {
-    try {
-        std::istringstream stream(bytes);
-        cereal::PortableBinaryInputArchive archive(stream);
-        Message message;
-        archive(message);
-        return message;
-    } catch (const cereal::Exception& problem) {
-        throw fleet_sync_error(problem.what());
-    } catch (const std::length_error& problem) {
-        // A length beyond what a string or vector can hold.
-        throw fleet_sync_error(problem.what());
-    } catch (const std::bad_alloc& problem) {
-        throw fleet_sync_error(problem.what());
-    }
+    return decodeMessage<fleet_sync_reply, fleet_sync_error>(bytes);
 }
 
-} // namespace
-
-std::string encodeFleetSyncRequest(const fleet_sync_request& request) { return encode(request); }
-std::string encodeFleetSyncReply(const fleet_sync_reply& reply) { return encode(reply); }
-fleet_sync_request decodeFleetSyncRequest(const std::string& bytes) { return decode<fleet_sync_request>(bytes); }
-fleet_sync_reply decodeFleetSyncReply(const std::string& bytes) { return decode<fleet_sync_reply>(bytes); }
-
 } // namespace pollen
--- /dev/null
+++ b/libs/relay/src/message_codec.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <base/typed_id.h>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <relay/server_rate_limits.h>
+#include <sstream>
+
+// Encoding of the messages between daemons of the relay. cereal finds the functions by name.
+namespace pollen {
+
+// An id is written as its text.
+template <typename Archive, typename Tag> void save(Archive& archive, const typed_id<Tag>& id) { archive(id.text()); }
+
+template <typename Archive, typename Tag> void load(Archive& archive, typed_id<Tag>& id)
+{
+    std::string text;
+    archive(text);
+    id = typed_id<Tag>(std::move(text));
+}
+
+template <typename Archive> void serialize(Archive& archive, rate_limit_notice& notice)
+{
+    archive(notice.server, notice.statement, notice.limit, notice.age);
+}
+
+template <typename Message> std::string encodeMessage(const Message& message)
+{
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(message);
+    }
+    return stream.str();
+}
+
+// Throws Failure, constructed from a text, for bytes that are not a message of this type.
+template <typename Message, typename Failure> Message decodeMessage(const std::string& bytes)
+{
+    try {
+        std::istringstream stream(bytes);
+        cereal::PortableBinaryInputArchive archive(stream);
+        Message message;
+        archive(message);
+        return message;
+    } catch (const cereal::Exception& problem) {
+        throw Failure(problem.what());
+    } catch (const std::length_error& problem) {
+        // A length beyond what a string or vector can hold.
+        throw Failure(problem.what());
+    } catch (const std::bad_alloc& problem) {
+        throw Failure(problem.what());
+    }
+}
+
+} // namespace pollen
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -36,6 +36,10 @@
 // Attempts beyond the limit of the route, for servers that are unreachable or full.
 constexpr uint32_t maximumExtraAttempts = 3;
 
+// Servers for which a permit is asked for at a time.
+constexpr size_t maximumPermitServers = 8;
+constexpr const char* rateLimitedReason = "rate_limited";
+
 constexpr int statusOk = 200;
 constexpr int firstServerErrorStatus = 500;
 constexpr int statusBadGateway = 502;
@@ -87,6 +91,7 @@
     }
     if (m_retryAt && now >= *m_retryAt) {
         m_retryAt.reset();
+        m_permitDenied = false;
         attempt();
         return;
     }
@@ -111,6 +116,7 @@
 {
     m_onEnd = nullptr;
     m_awaitsFleetState = false;
+    m_awaitsPermit = false;
     m_retryAt.reset();
     m_exchange.reset();
     releaseServer();
@@ -145,38 +151,109 @@
     }
     if (!std::exchange(m_countedForRepeats, true))
         m_dependencies.repeats.onRequest(placement.service, now);
-    server_table& servers = m_dependencies.state.servers();
-    auto choice = m_dependencies.servers.choose(placement, servers, *service, now);
-    if (!choice && !placement.onlyVersion.empty()) {
-        // No server of the new version accepts work at present; use any version.
-        placement.onlyVersion = {};
-        placement.onlyServers.clear();
-        choice = m_dependencies.servers.choose(placement, servers, *service, now);
-    }
+    if (m_permitDenied)
+        excludeLimitedServers(placement);
+    const auto choice = chooseServer(placement, *service);
     if (!choice && !m_triedServers.empty()) {
         waitForCapacity(placement, *service);
         return;
     }
     if (!choice) {
-        failRequest("no_server");
+        failRequest(m_permitDenied ? rateLimitedReason : "no_server");
+        return;
+    }
+    if (hasRateLimit(choice->server)) {
+        requestPermit(*choice, placement, *service);
         return;
     }
-    if (service->engine)
-        m_dependencies.servers.recordSent(
-            servers.row(choice->server).entry.id, placement, service->engine->cacheTokens);
     send(*choice, placement);
 }
 
+std::optional<placement_choice> relay_exchange::chooseServer(placement_request& placement, const relay_service& service)
+{
+    const time_point now = m_dependencies.time.now();
+    const server_table& servers = m_dependencies.state.servers();
+    const auto choice = m_dependencies.servers.choose(placement, servers, service, now);
+    if (choice || placement.onlyVersion.empty())
+        return choice;
+    placement.onlyVersion = {};
+    placement.onlyServers.clear();
+    return m_dependencies.servers.choose(placement, servers, service, now);
+}
+
+bool relay_exchange::hasRateLimit(server_handle server) const
+{
+    return m_dependencies.rateLimits.find(m_dependencies.state.servers().row(server).entry.id).has_value();
+}
+
+void relay_exchange::excludeLimitedServers(placement_request& placement) const
+{
+    if (m_dependencies.rateLimits.empty())
+        return;
+    for (uint32_t index = 0; index < m_dependencies.state.servers().rows().size(); ++index) {
+        if (hasRateLimit({ index }))
+            placement.excluded.push_back({ index });
+    }
+}
+
+void relay_exchange::requestPermit(
+    const placement_choice& first, placement_request placement, const relay_service& service)
+{
+    std::vector<instance_id> limited;
+    std::optional<placement_choice> choice = first;
+    while (choice && hasRateLimit(choice->server) && limited.size() < maximumPermitServers) {
+        limited.push_back(m_dependencies.state.servers().row(choice->server).entry.id);
+        placement.excluded.push_back(choice->server);
+        choice = chooseServer(placement, service);
+    }
+    m_awaitsPermit = true;
+    m_dependencies.permits.request(
+        limited, [weak = weak_from_this(), service = placement.service](const permit_decision& decision) {
+            const auto self = weak.lock();
+            if (!self || !std::exchange(self->m_awaitsPermit, false))
+                return;
+            self->m_dependencies.metrics.countPermit(service.text(), decision.server.has_value());
+            self->onPermit(decision);
+        });
+}
+
+void relay_exchange::onPermit(const permit_decision& decision)
+{
+    if (decision.server && sendWithPermit(*decision.server))
+        return;
+    m_permitDenied = true;
+    m_permitWait = decision.wait;
+    attempt();
+}
+
+bool relay_exchange::sendWithPermit(const instance_id& server)
+{
+    const auto handle = m_dependencies.state.servers().find(server);
+    placement_request placement = makePlacementRequest(m_dependencies, *m_admission.route, m_traits, m_model, m_start);
+    const relay_service* service = m_admission.configuration->findService(placement.service);
+    if (!handle || !service || timeLeft() < minimumTimeLeft)
+        return false;
+    placement_request permitted = placement;
+    permitted.onlyVersion = {};
+    permitted.onlyServers = { *handle };
+    const auto choice = chooseServer(permitted, *service);
+    if (choice)
+        send(*choice, placement);
+    return choice.has_value();
+}
+
 // All servers have been tried. A server that rejected the request has capacity again after it has worked off part of
 // its queue; an immediate retry would only add to its rejections.
 void relay_exchange::waitForCapacity(placement_request placement, const relay_service& service)
 {
     const time_point now = m_dependencies.time.now();
     placement.excluded.clear();
+    if (m_permitDenied)
+        excludeLimitedServers(placement);
     const server_table& servers = m_dependencies.state.servers();
     const auto choice = m_dependencies.servers.choose(placement, servers, service, now);
     if (!choice) {
-        failRequest("no_server");
+        failRequest(m_permitDenied ? rateLimitedReason : "no_server");
         return;
     }
     // Jitter, so that requests that were rejected together do not retry together.
@@ -204,6 +281,10 @@
     m_service = placement.service;
     m_version = row.entry.versions.empty() ? version_name() : row.entry.versions.front().version;
     m_sentAt = m_dependencies.time.now();
+    m_permitDenied = false;
+    const relay_service* service = m_admission.configuration->findService(m_service);
+    if (service && service->engine)
+        m_dependencies.servers.recordSent(m_serverId, placement, service->engine->cacheTokens);
     m_answer = {};
     m_status = 0;
     m_discard = false;
@@ -320,6 +401,8 @@
     const time_point now = m_dependencies.time.now();
     placement_request placement = makePlacementRequest(m_dependencies, *m_admission.route, m_traits, m_model, m_start);
     const relay_service* service = m_admission.configuration->findService(placement.service);
+    // An escalation is a second request for one caller; servers at their limit are left to first ones.
+    excludeLimitedServers(placement);
     const auto choice = service
         ? m_dependencies.servers.choose(placement, m_dependencies.state.servers(), *service, now)
         : std::nullopt;
@@ -343,9 +426,6 @@
     recordAttemptEnd("escalated");
     m_triedServers.clear();
     m_lastReason = "escalated";
-    const relay_service* service = m_admission.configuration->findService(placement.service);
-    m_dependencies.servers.recordSent(
-        m_dependencies.state.servers().row(choice.server).entry.id, placement, service->engine->cacheTokens);
     send(choice, placement);
 }
 
@@ -588,7 +668,7 @@
         return;
     }
     if (m_execution == execution_state::NotRun) {
-        refuse(statusUnavailable, reason, retryAfterFull);
+        refuse(statusUnavailable, reason, std::max(retryAfterFull, m_permitDenied ? m_permitWait : duration(0)));
         return;
     }
     const bool late = timeLeft() < minimumTimeLeft;
@@ -613,6 +693,7 @@
 {
     const auto self = shared_from_this();
     m_awaitsFleetState = false;
+    m_awaitsPermit = false;
     m_retryAt.reset();
     m_exchange.reset();
     releaseServer();
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -46,7 +46,17 @@
     void attempt();
     // Admits the request and makes its first attempt, unless the fleet state is still unknown.
     void admitAndAttempt();
+    // Chooses a server, of any version if none of the wanted one accepts work at present.
+    std::optional<placement_choice> chooseServer(placement_request& placement, const relay_service& service);
     void waitForCapacity(placement_request placement, const relay_service& service);
+    bool hasRateLimit(server_handle server) const;
+    // Excludes the servers that have named a rate limit.
+    void excludeLimitedServers(placement_request& placement) const;
+    // Asks for a permit for the chosen server or the ones that would be chosen next, as far as they have a rate limit.
+    void requestPermit(const placement_choice& first, placement_request placement, const relay_service& service);
+    void onPermit(const permit_decision& decision);
+    // Sends the request to the server if it may still be used; false if not.
+    bool sendWithPermit(const instance_id& server);
     void send(const placement_choice& choice, const placement_request& placement);
     duration timeLeft() const;
     bool isLargestModel() const;
@@ -126,6 +136,11 @@
     std::vector<server_handle> m_triedServers;
     // The daemon has just started and has not received the fleet state yet.
     bool m_awaitsFleetState = false;
+    // A permit for a server with a rate limit has been asked for.
+    bool m_awaitsPermit = false;
+    // No permit was to be had for this attempt, and for how long.
+    bool m_permitDenied = false;
+    duration m_permitWait { 0 };
     // End of the current wait for capacity on a server, and the number of such waits.
     std::optional<time_point> m_retryAt;
     int m_capacityWaits = 0;
--- a/libs/relay/src/relay_metrics.cpp
+++ b/libs/relay/src/relay_metrics.cpp
@@ -23,6 +23,10 @@
                          .Name("pollen_relay_limited_sends_total")
                          .Help("Requests sent to servers that have named a rate limit, repeats included")
                          .Register(m_registry))
+    , m_permits(prometheus::BuildCounter()
+                    .Name("pollen_relay_permits_total")
+                    .Help("Permits asked for to use servers that have named a rate limit")
+                    .Register(m_registry))
     , m_repeats(prometheus::BuildCounter()
                     .Name("pollen_relay_repeats_total")
                     .Help("Requests to be sent once more after they had arrived at a server")
@@ -77,6 +81,11 @@
     m_limitedSends.Add({ { "service", service } }).Increment();
 }
 
+void relay_metrics::countPermit(const std::string& service, bool granted)
+{
+    m_permits.Add({ { "service", service }, { "outcome", granted ? "granted" : "denied" } }).Increment();
+}
+
 void relay_metrics::countRepeat(const std::string& service, const std::string& outcome)
 {
     m_repeats.Add({ { "service", service }, { "outcome", outcome } }).Increment();
--- a/libs/relay/src/server_rate_limits.cpp
+++ b/libs/relay/src/server_rate_limits.cpp
@@ -18,20 +18,20 @@
     if (!limit && (known == m_statements.end() || !known->second.limit || sentAt <= known->second.statedAt))
         return false;
     const bool changed = known == m_statements.end() || known->second.limit != limit;
-    m_statements[server] = { limit, now };
+    m_statements[server] = { m_random(), limit, now };
     return changed;
 }
 
-bool server_rate_limits::merge(const rate_limit_notice& notice, time_point now)
+bool server_rate_limits::merge(const rate_limit_notice& notice, time_point receivedAt)
 {
-    const time_point statedAt = now - std::max(notice.age, duration(0));
+    const time_point statedAt = receivedAt - std::max(notice.age, duration(0));
     const auto known = m_statements.find(notice.server);
     if (known == m_statements.end() && !notice.limit)
         return false;
-    if (known != m_statements.end() && known->second.statedAt >= statedAt)
+    if (known != m_statements.end() && (known->second.id == notice.statement || known->second.statedAt >= statedAt))
         return false;
     const bool changed = known == m_statements.end() || known->second.limit != notice.limit;
-    m_statements[notice.server] = { notice.limit, statedAt };
+    m_statements[notice.server] = { notice.statement, notice.limit, statedAt };
     return changed;
 }
 
@@ -46,7 +46,7 @@
     std::vector<rate_limit_notice> notices;
     notices.reserve(m_statements.size());
     for (const auto& [server, known] : m_statements)
-        notices.push_back({ server, known.limit, now - known.statedAt });
+        notices.push_back({ server, known.id, known.limit, now - known.statedAt });
     return notices;
 }
 
--- a/libs/relay/tests/fleet_sync_test.cpp
+++ b/libs/relay/tests/fleet_sync_test.cpp
@@ -1,4 +1,5 @@
 #include "fake_fleet_store.h"
+#include "fake_network.h"
 
 #include <gtest/gtest.h>
 #include <relay/fleet_sync.h>
@@ -40,37 +41,6 @@
     shared_topic topic { listener };
 };
 
-// Delivers requests to the daemons of the test, unless they are down or silent.
-class fake_network {
-public:
-    std::map<endpoint, state_exchange::state_source> sources;
-    std::set<endpoint> down;
-    std::set<endpoint> silent;
-    int requests = 0;
-};
-
-class fake_exchange final : public state_exchange {
-public:
-    fake_exchange(fake_network& network, const endpoint& self)
-        : m_network(network)
-        , m_self(self)
-    {
-    }
-    void fetch(const endpoint& peer, const std::string& request, state_callback callback) override
-    {
-        ++m_network.requests;
-        if (m_network.silent.contains(peer))
-            return;
-        const std::string reply = m_network.down.contains(peer) ? "" : m_network.sources[peer](request);
-        callback(reply.empty() ? std::nullopt : std::optional(reply));
-    }
-    void setSource(state_source source) override { m_network.sources[m_self] = std::move(source); }
-
-private:
-    fake_network& m_network;
-    endpoint m_self;
-};
-
 struct test_daemon {
     test_daemon(fake_network& network, const clock& time, const std::string& id, const char* domain, uint16_t port)
         : listed { instance_id(id), failure_domain_name(domain), { "127.0.0.1", port } }
@@ -80,7 +50,7 @@
         , exchange(network, listed.address)
         , sharing({ listed.id, listed.failureDomain },
               { std::chrono::milliseconds(1300), std::chrono::milliseconds(1800) }, store, servers, rollouts,
-              crashTable, crashes, exchange, time, log)
+              crashTable, crashes, rateLimits, exchange, time, log)
     {
     }
 
@@ -92,6 +62,8 @@
     rollout_system rollouts;
     crash_table crashTable;
     crash_publisher crashes;
+    random_source random { 1 };
+    server_rate_limits rateLimits { random };
     fake_exchange exchange;
     fleet_sync sharing;
     bool storeReachable = true;
@@ -224,11 +196,13 @@
     const rollout_report report { instance_id("d"), 7, service_name("s"), version_name("v"), std::chrono::seconds(3),
         rollout_evidence({ { "r", { 1, 2, 3, 4, 5, 6 }, { 7, 8, 9, 10, 11, 12 } } }), 9, true, true };
     const fleet_sync_request request { { 1, 2 }, instance_id("d"), { report }, { { instance_id("e"), 3, 17000 } },
-        { { { 5, instance_id("d") }, 2, { { instance_id("e"), 1796354559998 } }, 1796354559000 } } };
+        { { { 5, instance_id("d") }, 2, { { instance_id("e"), 1796354559998 } }, 1796354559000 } },
+        { { instance_id("e"), 11, 1.1, std::chrono::milliseconds(40) },
+            { instance_id("f"), 12, std::nullopt, duration(0) } } };
     EXPECT_EQ(decodeFleetSyncRequest(encodeFleetSyncRequest(request)), request);
     const fleet_sync_reply reply {
         { { true, 9, std::chrono::seconds(2), { { "k", "v", 3 }, { "d", std::nullopt, 4 } } } }, request.reports,
-        request.work, request.crashes
+        request.work, request.crashes, request.rateLimits
     };
     const std::string bytes = encodeFleetSyncReply(reply);
     EXPECT_EQ(decodeFleetSyncReply(bytes), reply);
--- a/standins/tests/server_limit_test.cpp
+++ b/standins/tests/server_limit_test.cpp
@@ -1,17 +1,13 @@
 #include "relay_fixture.h"
 
-#include <deque>
+#include <limit_rule.h>
 
 namespace pollen {
 
 namespace {
 
-// The users' rule: within any four seconds a server gets at most one and a half times what its limit allows, and five
-// requests, from three seconds after it first named the limit on.
-constexpr duration ruleWindow = std::chrono::seconds(4);
+// The rule holds from this time after a server first named its limit on.
 constexpr duration ruleStart = std::chrono::seconds(3);
-constexpr double ruleFactor = 1.5;
-constexpr double ruleSlack = 5;
 
 constexpr duration requestInterval = std::chrono::milliseconds(20);
 constexpr size_t daemonsOfTheFleet = 9;
@@ -64,10 +60,15 @@
                 { "Pollenroute-Deadline-Ms", "1500" }, { "Pollenroute-Key", "key" } },
             "" };
         ++m_open;
-        m_caller.fetch(daemon->address(), message, {}, [this](const exchange_result&, const http_response& response) {
-            --m_open;
-            ++m_answers[response.status];
-        });
+        m_caller.fetch(daemon->address(), message, {},
+            [this, sentAt = m_time.now()](const exchange_result&, const http_response& response) {
+                --m_open;
+                ++m_answers[response.status];
+                m_slowest = std::max(m_slowest, m_time.now() - sentAt);
+                if (response.status == 503 && response.body.find("not_run") != std::string::npos
+                    && !findHeader(response.headers, "Retry-After").empty())
+                    ++m_refusals;
+            });
     }
 
     // A server that names a limit; none if empty.
@@ -79,33 +80,30 @@
             http_headers headers;
             if (!m_limit.empty())
                 headers.emplace_back("Server-Limit", m_limit);
-            request->reply(200, answerHeaders(*request, headers), "done");
+            request->reply(m_limitedStatus, answerHeaders(*request, headers), "done");
         };
     }
 
-    // The most arrivals at the limited server within any window from a time on.
-    size_t mostArrivals(time_point from) const
+    // The most arrivals at the limited server in any window of the rule, from a time on.
+    double mostArrivals(time_point from) const
     {
-        size_t most = 0;
-        std::deque<time_point> window;
-        for (const time_point arrival : m_arrivals) {
-            if (arrival < from)
-                continue;
-            window.push_back(arrival);
-            while (arrival - window.front() > ruleWindow)
-                window.pop_front();
-            most = std::max(most, window.size());
-        }
-        return most;
+        std::vector<time_point> arrivals;
+        std::copy_if(m_arrivals.begin(), m_arrivals.end(), std::back_inserter(arrivals),
+            [&](time_point arrival) { return arrival >= from; });
+        return mostInWindow(arrivals);
+    }
+    double arrivalsSince(time_point from) const
+    {
+        return static_cast<double>(
+            std::count_if(m_arrivals.begin(), m_arrivals.end(), [&](time_point arrival) { return arrival >= from; }));
     }
-
-    static double allowed(double limit) { return limit * toSeconds(ruleWindow) * ruleFactor + ruleSlack; }
 
     event_loop m_loop;
     null_logger m_log;
     os_clock m_time;
     store_standin m_store { m_loop, { "127.0.0.1", 0 } };
     std::string m_limit = "1.1";
+    int m_limitedStatus = 200;
     std::vector<time_point> m_arrivals;
     backend_standin m_limited { m_loop, { namesLimit() } };
     backend_standin m_other { m_loop, { answers(200, "done") } };
@@ -114,6 +112,9 @@
     size_t m_sent = 0;
     size_t m_open = 0;
     std::map<int, size_t> m_answers;
+    // Answers that say that the request has not run, and when to come back.
+    size_t m_refusals = 0;
+    duration m_slowest { 0 };
 };
 
 } // namespace
@@ -125,8 +126,67 @@
     list("other", m_other);
     const time_point start = m_time.now();
     sendFor(std::chrono::seconds(9));
-    EXPECT_LE(static_cast<double>(mostArrivals(start + ruleStart)), allowed(1.1));
+    EXPECT_LE(mostArrivals(start + ruleStart), allowedInWindow(1.1));
     EXPECT_EQ(m_answers[200], m_sent);
 }
 
+// Guards against a limit that is kept by holding requests or by leaving it unused: what no server takes is refused at
+// once.
+TEST_F(ServerLimitTest, WhatNoServerTakesIsRefusedAtOnceAndNotRun)
+{
+    m_limit = "8";
+    const time_point start = m_time.now();
+    sendFor(std::chrono::seconds(10), "POST", "/o/x");
+    EXPECT_LE(mostArrivals(start + ruleStart), allowedInWindow(8));
+    constexpr double measuredSeconds = 7;
+    EXPECT_GE(arrivalsSince(start + ruleStart), 0.8 * 8 * measuredSeconds);
+    EXPECT_EQ(m_answers[200], m_arrivals.size());
+    EXPECT_EQ(m_answers[503], m_refusals);
+    EXPECT_EQ(m_answers[200] + m_answers[503], m_sent);
+    EXPECT_LT(m_slowest, std::chrono::milliseconds(500));
+}
+
+// Guards against LIMIT on retries: a server with a limit fails what it runs, and requests go from it to another and
+// back.
+TEST_F(ServerLimitTest, RetriesKeepToTheLimitAsWell)
+{
+    m_limitedStatus = 500;
+    backend_standin failing(m_loop, { answers(500, "failed") });
+    list("failing", failing);
+    const time_point start = m_time.now();
+    sendFor(std::chrono::seconds(9));
+    EXPECT_LE(mostArrivals(start + ruleStart), allowedInWindow(1.1));
+}
+
+// Guards against a server that is left out for good after its need has passed.
+TEST_F(ServerLimitTest, AServerThatNamesNoLimitAnyMoreGetsItsShareAgain)
+{
+    list("other", m_other);
+    sendFor(std::chrono::seconds(4));
+    m_limit.clear();
+    sendFor(std::chrono::seconds(5));
+    const time_point again = m_time.now();
+    sendFor(std::chrono::seconds(2));
+    EXPECT_GE(arrivalsSince(again), 0.3 * 2 * (std::chrono::seconds(1) / requestInterval));
+}
+
+// Guards against LIMIT while the fleet changes: daemons that start anew know neither the limit nor what was sent, and
+// without the store they cannot ask it.
+TEST_F(ServerLimitTest, RestartsAndALostStoreDoNotAddToTheLimit)
+{
+    list("other", m_other);
+    const time_point start = m_time.now();
+    sendFor(std::chrono::seconds(3), "GET", "/open/x");
+    for (size_t i = 0; i < failureDomains; ++i) {
+        m_daemons[i].reset();
+        sendFor(std::chrono::milliseconds(300), "GET", "/open/x");
+        startDaemon(i);
+        sendFor(std::chrono::milliseconds(700), "GET", "/open/x");
+    }
+    m_store.set("outage", 2);
+    sendFor(std::chrono::seconds(5), "GET", "/open/x");
+    EXPECT_LE(mostArrivals(start + ruleStart), allowedInWindow(1.1));
+    EXPECT_GE(arrivalsSince(start + ruleStart), 0.5 * 1.1 * toSeconds(m_time.now() - start - ruleStart));
+}
+
 } // namespace pollen
