Allocate only the parts of daemons that take their permits here

What could happen: two daemons of one failure domain allocate its whole share at the same time, because one is slow to answer or cut off from some; with one failure domain the fleet then sends twice the limit. Cause: a daemon took over the share on its own view of who answers. A woken or demoted allocator also kept its unused permits. Change: members declare once a second from which daemon they take permits; an allocator has the part of the share that belongs to its members. Daemons that refuse connections or have been silent for 10 s are not counted. A daemon that was paused for 0.5 s, or is not the allocator, gives up unused permits.

--- a/libs/relay/include/relay/permit_allocator.h
+++ b/libs/relay/include/relay/permit_allocator.h
@@ -31,12 +31,19 @@
     // All failure domains of the fleet, including the allocator's own.
     void setDomains(std::vector<failure_domain_name> domains) { m_domains = std::move(domains); }
 
+    // The part of the domain's share that may be allocated here, 0 to 1; the rest belongs to daemons of the domain that
+    // may take their permits elsewhere.
+    void setPart(double part) { m_part = part; }
+
     // servers: in the order of preference. A server without a limit needs no permit and is granted.
     permit_decision take(const std::vector<instance_id>& servers, time_point now);
 
     // Forgets servers that name no limit any more.
     void removeUnlimited();
 
+    // Gives up all unused permits, as another daemon may have allocated the domain's share meanwhile.
+    void clear() { m_buckets.clear(); }
+
 private:
     struct share {
         // Permits a second.
@@ -50,6 +57,7 @@
     failure_domain_name m_domain;
     const server_rate_limits& m_limits;
     std::vector<failure_domain_name> m_domains;
+    double m_part = 1;
     std::unordered_map<instance_id, token_bucket> m_buckets;
 };
 
--- a/libs/relay/include/relay/permit_message.h
+++ b/libs/relay/include/relay/permit_message.h
@@ -13,6 +13,9 @@
 
 // Asks for a permit for one of the servers. Without servers, only checks that the receiver answers.
 struct permit_request {
+    instance_id sender;
+    // The sender takes its permits for its failure domain from the receiver and from no other daemon.
+    bool isMember = false;
     // In the order of preference.
     std::vector<instance_id> servers;
     // The limits of these servers that the sender knows.
--- a/libs/relay/include/relay/permit_system.h
+++ b/libs/relay/include/relay/permit_system.h
@@ -14,7 +14,9 @@
 namespace pollen {
 
 // Obtains permits to send requests to servers that have named a rate limit. In each failure domain the first daemon by
-// id allocates the domain's share of the limits; the next one takes its place while it does not answer. Where the own
+// id allocates the domain's share of the limits; the next one takes its place while it does not answer. A daemon
+// allocates only the parts of those daemons of the domain that take their permits from it, so that several allocators
+// at a time, which slow daemons and partitions make unavoidable, do not add up to more than the share. Where the own
 // domain has no permit left, one of another domain is asked for. Works without the store.
 class permit_system final : public fleet_system {
 public:
@@ -50,11 +52,24 @@
         // The waiting request; none for a check whether the daemon answers.
         std::optional<uint64_t> request;
     };
+    // A daemon that does not answer.
+    struct unavailability {
+        time_point since;
+        time_point nextCheck;
+        // Its process does not run, as against one that is silent.
+        bool refused = false;
+    };
     // No permit is to be had from the domain before this time.
     using denial_key = std::pair<failure_domain_name, instance_id>;
 
     void updateDaemons();
-    void checkUnavailable(time_point now);
+    // Whether this daemon allocates the permits of its failure domain.
+    bool isAllocator(time_point now);
+    // Checks daemons that do not answer, and declares to the allocator that this daemon takes its permits from it.
+    void checkDaemons(time_point now);
+    // Daemons of the own domain that may take permits from another allocator than this one.
+    size_t countOthers(time_point now) const;
+    void updatePart(time_point now);
     void removeOverdue(time_point now);
     // Asks the next domain, or reports that there is no permit.
     void askNext(uint64_t number, time_point now);
@@ -72,7 +87,7 @@
     void onDecision(uint64_t number, const failure_domain_name& domain, const std::vector<instance_id>& servers,
         const permit_decision& decision, time_point now);
     void finish(uint64_t number, const permit_decision& decision);
-    void markUnavailable(const listed_peer& peer, const char* reason, time_point now);
+    void markUnavailable(const listed_peer& peer, bool refused, time_point now);
     std::string handleRequest(const std::string& bytes);
 
     identity m_self;
@@ -84,14 +99,18 @@
     permit_allocator m_allocator;
     // The daemons of each failure domain, by id.
     std::map<failure_domain_name, std::vector<listed_peer>> m_daemons;
-    // Daemons that do not answer, and when they are checked again.
-    std::map<instance_id, time_point> m_unavailable;
+    std::map<instance_id, unavailability> m_unavailable;
+    // Daemons of the own domain that take permits from this one, and when they last declared it.
+    std::map<instance_id, time_point> m_members;
     std::map<denial_key, time_point> m_deniedUntil;
     std::map<uint64_t, waiting_request> m_waiting;
     std::map<uint64_t, sent_message> m_sent;
     uint64_t m_lastNumber = 0;
     size_t m_rotation = 0;
     time_point m_nextUpdate {};
+    time_point m_nextCheck {};
+    // The last time at which this daemon was certain to be running.
+    time_point m_lastActive {};
     std::shared_ptr<bool> m_alive;
 };
 
--- a/libs/relay/src/permit_allocator.cpp
+++ b/libs/relay/src/permit_allocator.cpp
@@ -27,7 +27,7 @@
     if (rank >= sharing)
         return {};
     const auto parts = static_cast<double>(sharing);
-    return { rate / parts, (rate + additionalPermits) / parts };
+    return { rate / parts * m_part, (rate + additionalPermits) / parts };
 }
 
 permit_decision permit_allocator::take(const std::vector<instance_id>& servers, time_point now)
--- a/libs/relay/src/permit_system.cpp
+++ b/libs/relay/src/permit_system.cpp
@@ -1,6 +1,7 @@
 #include <relay/permit_system.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace pollen {
 
@@ -14,6 +15,12 @@
 constexpr duration updateInterval = std::chrono::milliseconds(250);
 // A permit that was on the way for longer is not used.
 constexpr duration permitLifetime = std::chrono::milliseconds(250);
+// A daemon that did not run for longer has been replaced as allocator by another one.
+constexpr duration maximumPause = std::chrono::milliseconds(500);
+// A declaration counts for two intervals, so that a delayed one leaves no gap.
+constexpr duration memberLifetime = 2 * checkInterval;
+// A daemon that has been silent for so long has ended, or is cut off and not counted on.
+constexpr duration maximumSilence = std::chrono::seconds(10);
 // The daemon asked was not the allocator; the roles are settled by then.
 constexpr duration unsettledWait = std::chrono::milliseconds(200);
 // The own failure domain and another one.
@@ -44,8 +51,20 @@
     updateDaemons();
     m_allocator.removeUnlimited();
     std::erase_if(m_deniedUntil, [&](const auto& denial) { return denial.second <= now; });
+    isAllocator(now);
+    updatePart(now);
     if (!m_limits.empty())
-        checkUnavailable(now);
+        checkDaemons(now);
+}
+
+bool permit_system::isAllocator(time_point now)
+{
+    const bool wasPaused = now - std::exchange(m_lastActive, now) > maximumPause;
+    const auto allocator = allocatorOf(m_self.failureDomain);
+    const bool allocates = allocator && allocator->id == m_self.id;
+    if (wasPaused || !allocates)
+        m_allocator.clear();
+    return allocates;
 }
 
 void permit_system::updateDaemons()
@@ -66,20 +85,50 @@
     m_allocator.setDomains(std::move(domains));
 }
 
-void permit_system::checkUnavailable(time_point now)
+void permit_system::checkDaemons(time_point now)
 {
     std::set<instance_id> listed;
     for (const auto& [domain, daemons] : m_daemons) {
         for (const listed_peer& daemon : daemons) {
             listed.insert(daemon.id);
             const auto unavailable = m_unavailable.find(daemon.id);
-            if (unavailable == m_unavailable.end() || now < unavailable->second)
+            if (unavailable == m_unavailable.end() || now < unavailable->second.nextCheck)
                 continue;
-            unavailable->second = now + checkInterval;
+            unavailable->second.nextCheck = now + checkInterval;
             send(daemon, {}, std::nullopt, now);
         }
     }
     std::erase_if(m_unavailable, [&](const auto& item) { return !listed.contains(item.first); });
+    if (now < m_nextCheck)
+        return;
+    m_nextCheck = now + checkInterval;
+    const bool allocates = isAllocator(now);
+    const auto allocator = allocatorOf(m_self.failureDomain);
+    for (const listed_peer& daemon : m_daemons[m_self.failureDomain]) {
+        if (daemon.id == m_self.id || m_unavailable.contains(daemon.id))
+            continue;
+        const bool isUnheard = allocates && !m_members.contains(daemon.id);
+        if (isUnheard || (allocator && allocator->id == daemon.id))
+            send(daemon, {}, std::nullopt, now);
+    }
+}
+
+size_t permit_system::countOthers(time_point now) const
+{
+    const std::vector<listed_peer>& daemons = m_daemons.at(m_self.failureDomain);
+    return static_cast<size_t>(std::count_if(daemons.begin(), daemons.end(), [&](const listed_peer& daemon) {
+        const auto unavailable = m_unavailable.find(daemon.id);
+        const bool isGone = unavailable != m_unavailable.end()
+            && (unavailable->second.refused || now - unavailable->second.since > maximumSilence);
+        return daemon.id != m_self.id && !m_members.contains(daemon.id) && !isGone;
+    }));
+}
+
+void permit_system::updatePart(time_point now)
+{
+    std::erase_if(m_members, [&](const auto& member) { return now - member.second > memberLifetime; });
+    const auto own = static_cast<double>(m_members.size() + 1);
+    m_allocator.setPart(own / (own + static_cast<double>(countOthers(now))));
 }
 
 void permit_system::removeOverdue(time_point now)
@@ -92,7 +141,7 @@
         return overdue;
     });
     for (const listed_peer& peer : silent)
-        markUnavailable(peer, "silent", now);
+        markUnavailable(peer, false, now);
     std::vector<uint64_t> late;
     for (const auto& [number, waiting] : m_waiting) {
         if (now - waiting.startedAt > permitTimeout)
@@ -123,7 +172,7 @@
         if (servers.empty() || !allocator)
             continue;
         waiting.askedDomains.insert(domain);
-        if (allocator->id == m_self.id)
+        if (allocator->id == m_self.id && isAllocator(now))
             onDecision(number, domain, servers, m_allocator.take(servers, now), now);
         else
             send(*allocator, servers, number, now);
@@ -183,7 +232,8 @@
 void permit_system::send(
     const listed_peer& peer, const std::vector<instance_id>& servers, std::optional<uint64_t> request, time_point now)
 {
-    permit_request message { servers, {} };
+    const auto allocator = allocatorOf(m_self.failureDomain);
+    permit_request message { m_self.id, allocator && allocator->id == peer.id, servers, {} };
     for (const rate_limit_notice& notice : m_limits.notices(now)) {
         if (std::find(servers.begin(), servers.end(), notice.server) != servers.end())
             message.rateLimits.push_back(notice);
@@ -215,7 +265,7 @@
             { { "peer", sent.peer.id.text() }, { "problem", problem.what() } });
     }
     if (!reply) {
-        markUnavailable(sent.peer, "no answer", now);
+        markUnavailable(sent.peer, true, now);
         if (!isWaiting)
             return;
         // Another daemon of the domain takes its place.
@@ -253,11 +303,15 @@
     callback(decision);
 }
 
-void permit_system::markUnavailable(const listed_peer& peer, const char* reason, time_point now)
+void permit_system::markUnavailable(const listed_peer& peer, bool refused, time_point now)
 {
-    if (m_unavailable.try_emplace(peer.id, now + checkInterval).second)
+    const auto [known, isNew]
+        = m_unavailable.try_emplace(peer.id, unavailability { now, now + checkInterval, refused });
+    known->second.refused = refused;
+    if (isNew)
         m_log.write(log_level::Info, "permit_daemon_unavailable",
-            { { "peer", peer.id.text() }, { "failure_domain", peer.failureDomain.text() }, { "reason", reason } });
+            { { "peer", peer.id.text() }, { "failure_domain", peer.failureDomain.text() },
+                { "reason", refused ? "no answer" : "silent" } });
 }
 
 std::string permit_system::handleRequest(const std::string& bytes)
@@ -269,9 +323,11 @@
             m_limits.merge(notice, now);
         if (m_daemons.empty())
             updateDaemons();
+        if (request.isMember)
+            m_members[request.sender] = now;
         permit_reply reply;
         const auto allocator = allocatorOf(m_self.failureDomain);
-        reply.isAllocator = allocator && allocator->id == m_self.id;
+        reply.isAllocator = isAllocator(now);
         if (reply.isAllocator && !request.servers.empty())
             reply.decision = m_allocator.take(request.servers, now);
         // The sender may have found that the allocator does not answer.
--- a/libs/relay/tests/permit_system_test.cpp
+++ b/libs/relay/tests/permit_system_test.cpp
@@ -194,7 +194,11 @@
 {
     startAll({ "a1", "a2" });
     run(tickInterval);
-    m_time.advance(std::chrono::seconds(10));
+    for (duration passed { 0 }; passed < std::chrono::seconds(10); passed += tickInterval) {
+        m_time.advance(tickInterval);
+        for (const auto& [id, daemon] : m_daemons)
+            daemon->permits.tick(m_time.now());
+    }
     const auto source = m_network.sources.at(m_daemons["a1"]->listed.address);
     duration pause { 0 };
     m_network.sources[m_daemons["a1"]->listed.address] = [&](const std::string& request) {
@@ -215,7 +219,7 @@
 
 TEST(PermitMessage, RoundTripsAndRejectsMalformedBytes)
 {
-    const permit_request request { { instance_id("s"), instance_id("t") },
+    const permit_request request { instance_id("d"), true, { instance_id("s"), instance_id("t") },
         { { instance_id("s"), 5, 1.1, std::chrono::milliseconds(40) } } };
     EXPECT_EQ(decodePermitRequest(encodePermitRequest(request)), request);
     const permit_reply reply { true, { instance_id("s"), std::chrono::milliseconds(300) } };
