--- a/libs/ctl/src/fleet_log.cpp
+++ b/libs/ctl/src/fleet_log.cpp
@@ -52,6 +52,7 @@
         { "no_such_service", "the route names a service that the configuration does not have" },
         { "no_time_left", "the deadline was too close to send it again" },
         { "timed_out", "the server had not finished at the caller's deadline" },
+        { "rate_limited", "the servers that could take it had named rate limits, and these were used up" },
         { "no_room_in_time", "every server turned it away, and the deadline was too close to wait for room" },
         { "not_run", "every server that was tried turned it away" },
         { "server_error", "the server answered with an error of its own" },
