Do not blame others for the silence of the own pause

What could happen: a daemon that was frozen for some seconds took its unanswered question for the silence of the allocator and allocated in its place, on permits that had run out. Cause: time-outs of questions ran on while the daemon itself did not.

--- a/libs/relay/include/relay/permit_system.h
+++ b/libs/relay/include/relay/permit_system.h
@@ -63,8 +63,10 @@
     using denial_key = std::pair<failure_domain_name, instance_id>;
 
     void updateDaemons();
+    // Called whenever this daemon runs; after a pause it gives up what it allocates and what it has asked for.
+    void recordActivity(time_point now);
     // Whether this daemon allocates the permits of its failure domain.
-    bool isAllocator(time_point now);
+    bool isAllocator() const;
     // Checks daemons that do not answer, and declares to the allocator that this daemon takes its permits from it.
     void checkDaemons(time_point now);
     // Daemons of the own domain that may take permits from another allocator than this one.
--- a/libs/relay/src/permit_system.cpp
+++ b/libs/relay/src/permit_system.cpp
@@ -23,6 +23,7 @@
 constexpr duration maximumSilence = std::chrono::seconds(10);
 // The daemon asked was not the allocator; the roles are settled by then.
 constexpr duration unsettledWait = std::chrono::milliseconds(200);
+constexpr duration maximumReportedWait = std::chrono::seconds(1);
 // The own failure domain and another one.
 constexpr size_t maximumAskedDomains = 2;
 
@@ -44,6 +45,7 @@
 
 void permit_system::tick(time_point now)
 {
+    recordActivity(now);
     removeOverdue(now);
     if (now < m_nextUpdate)
         return;
@@ -51,20 +53,26 @@
     updateDaemons();
     m_allocator.removeUnlimited();
     std::erase_if(m_deniedUntil, [&](const auto& denial) { return denial.second <= now; });
-    isAllocator(now);
+    if (!isAllocator())
+        m_allocator.clear();
     updatePart(now);
     if (!m_limits.empty())
         checkDaemons(now);
 }
 
-bool permit_system::isAllocator(time_point now)
+void permit_system::recordActivity(time_point now)
+{
+    if (now - std::exchange(m_lastActive, now) <= maximumPause)
+        return;
+    // Another daemon may have allocated in the place of this one, and the replies have been waiting here.
+    m_allocator.clear();
+    m_sent.clear();
+}
+
+bool permit_system::isAllocator() const
 {
-    const bool wasPaused = now - std::exchange(m_lastActive, now) > maximumPause;
     const auto allocator = allocatorOf(m_self.failureDomain);
-    const bool allocates = allocator && allocator->id == m_self.id;
-    if (wasPaused || !allocates)
-        m_allocator.clear();
-    return allocates;
+    return allocator && allocator->id == m_self.id;
 }
 
 void permit_system::updateDaemons()
@@ -102,7 +110,7 @@
     if (now < m_nextCheck)
         return;
     m_nextCheck = now + checkInterval;
-    const bool allocates = isAllocator(now);
+    const bool allocates = isAllocator();
     const auto allocator = allocatorOf(m_self.failureDomain);
     for (const listed_peer& daemon : m_daemons[m_self.failureDomain]) {
         if (daemon.id == m_self.id || m_unavailable.contains(daemon.id))
@@ -154,6 +162,7 @@
 void permit_system::request(const std::vector<instance_id>& servers, permit_callback callback)
 {
     const time_point now = m_time.now();
+    recordActivity(now);
     if (m_daemons.empty())
         updateDaemons();
     const uint64_t number = ++m_lastNumber;
@@ -172,7 +181,7 @@
         if (servers.empty() || !allocator)
             continue;
         waiting.askedDomains.insert(domain);
-        if (allocator->id == m_self.id && isAllocator(now))
+        if (allocator->id == m_self.id)
             onDecision(number, domain, servers, m_allocator.take(servers, now), now);
         else
             send(*allocator, servers, number, now);
@@ -182,7 +191,7 @@
         if (std::find(waiting.servers.begin(), waiting.servers.end(), key.second) != waiting.servers.end())
             waiting.shortestWait = std::min(waiting.shortestWait, std::max(until - now, duration(0)));
     }
-    finish(number, { std::nullopt, std::min(waiting.shortestWait, checkInterval) });
+    finish(number, { std::nullopt, std::min(waiting.shortestWait, maximumReportedWait) });
 }
 
 std::vector<failure_domain_name> permit_system::domainsToAsk(const waiting_request& waiting)
@@ -250,6 +259,7 @@
 void permit_system::onReply(uint64_t message, const std::optional<std::string>& bytes)
 {
     const time_point now = m_time.now();
+    recordActivity(now);
     const auto found = m_sent.find(message);
     if (found == m_sent.end())
         return;
@@ -317,6 +327,7 @@
 std::string permit_system::handleRequest(const std::string& bytes)
 {
     const time_point now = m_time.now();
+    recordActivity(now);
     try {
         const permit_request request = decodePermitRequest(bytes);
         for (const rate_limit_notice& notice : request.rateLimits)
@@ -327,7 +338,7 @@
             m_members[request.sender] = now;
         permit_reply reply;
         const auto allocator = allocatorOf(m_self.failureDomain);
-        reply.isAllocator = isAllocator(now);
+        reply.isAllocator = isAllocator();
         if (reply.isAllocator && !request.servers.empty())
             reply.decision = m_allocator.take(request.servers, now);
         // The sender may have found that the allocator does not answer.
--- a/libs/relay/tests/permit_system_test.cpp
+++ b/libs/relay/tests/permit_system_test.cpp
@@ -96,6 +96,15 @@
         }
     }
 
+    void idle(duration time)
+    {
+        for (duration passed { 0 }; passed < time; passed += tickInterval) {
+            m_time.advance(tickInterval);
+            for (const auto& [id, daemon] : m_daemons)
+                daemon->permits.tick(m_time.now());
+        }
+    }
+
     double grantedSince(size_t before) const { return static_cast<double>(m_granted.size() - before); }
 
     manual_clock m_time;
@@ -194,11 +203,7 @@
 {
     startAll({ "a1", "a2" });
     run(tickInterval);
-    for (duration passed { 0 }; passed < std::chrono::seconds(10); passed += tickInterval) {
-        m_time.advance(tickInterval);
-        for (const auto& [id, daemon] : m_daemons)
-            daemon->permits.tick(m_time.now());
-    }
+    idle(std::chrono::seconds(10));
     const auto source = m_network.sources.at(m_daemons["a1"]->listed.address);
     duration pause { 0 };
     m_network.sources[m_daemons["a1"]->listed.address] = [&](const std::string& request) {
@@ -217,6 +222,30 @@
     EXPECT_FALSE(isGranted());
 }
 
+// Guards against a daemon that was paused itself and takes the silence for that of the others: it would allocate in
+// their place.
+TEST_F(PermitSystemTest, ADaemonThatWasPausedDoesNotBlameTheAllocator)
+{
+    startAll({ "a1", "a2" });
+    run(tickInterval);
+    idle(std::chrono::seconds(10));
+    const endpoint allocator = m_daemons["a1"]->listed.address;
+    m_network.silent.insert(allocator);
+    m_daemons["a2"]->permits.request({ limitedServer }, [](const permit_decision&) {});
+    m_network.silent.erase(allocator);
+    m_time.advance(std::chrono::seconds(5));
+    m_daemons["a1"]->permits.tick(m_time.now());
+    m_daemons["a2"]->permits.tick(m_time.now());
+    int asked = 0;
+    const auto source = m_network.sources.at(allocator);
+    m_network.sources[allocator] = [&](const std::string& request) {
+        asked += decodePermitRequest(request).servers.empty() ? 0 : 1;
+        return source(request);
+    };
+    m_daemons["a2"]->permits.request({ limitedServer }, [](const permit_decision&) {});
+    EXPECT_EQ(asked, 1);
+}
+
 TEST(PermitMessage, RoundTripsAndRejectsMalformedBytes)
 {
     const permit_request request { instance_id("d"), true, { instance_id("s"), instance_id("t") },
