Keep a session's version where its servers are at their limits

What could happen: a session that had moved to the new version went back to the old one as soon as the limits of the new version's servers were used up. Cause: a denied permit was taken like a version without servers, after which any version will do. Change: a request of a session that has used the version waits for none, and is refused as rate_limited. Evidence: ASessionKeepsItsVersionWhereItsServersAreAtTheirLimits failed before (200 from the old version twice, 503 expected), passes now.

--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -174,13 +174,18 @@
     const time_point now = m_dependencies.time.now();
     const server_table& servers = m_dependencies.state.servers();
     const auto choice = m_dependencies.servers.choose(placement, servers, service, now);
-    if (choice || placement.onlyVersion.empty())
+    if (choice || placement.onlyVersion.empty() || (m_permitDenied && hasUsedVersion(placement.onlyVersion)))
         return choice;
     placement.onlyVersion = {};
     placement.onlyServers.clear();
     return m_dependencies.servers.choose(placement, servers, service, now);
 }
 
+bool relay_exchange::hasUsedVersion(const version_name& version) const
+{
+    return m_dependencies.sessions.find(sessionKey(m_traits), m_start) == version;
+}
+
 bool relay_exchange::hasRateLimit(server_handle server) const
 {
     return m_dependencies.rateLimits.find(m_dependencies.state.servers().row(server).entry.id).has_value();
@@ -204,7 +209,8 @@
     while (choice && hasRateLimit(choice->server) && limited.size() < maximumPermitServers) {
         limited.push_back(m_dependencies.state.servers().row(choice->server).entry.id);
         placement.excluded.push_back(choice->server);
-        choice = chooseServer(placement, service);
+        choice = m_dependencies.servers.choose(
+            placement, m_dependencies.state.servers(), service, m_dependencies.time.now());
     }
     m_awaitsPermit = true;
     m_dependencies.permits.request(
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -46,9 +46,12 @@
     void attempt();
     // Admits the request and makes its first attempt, unless the fleet state is still unknown.
     void admitAndAttempt();
-    // Chooses a server, of any version if none of the wanted one accepts work at present.
+    // Chooses a server, of any version if none of the wanted one accepts work at present. A session keeps its version
+    // if servers of that version are only at their rate limits.
     std::optional<placement_choice> chooseServer(placement_request& placement, const relay_service& service);
     void waitForCapacity(placement_request placement, const relay_service& service);
+    // The request's session last used this version, as far as this daemon knows.
+    bool hasUsedVersion(const version_name& version) const;
     bool hasRateLimit(server_handle server) const;
     // Excludes the servers that have named a rate limit.
     void excludeLimitedServers(placement_request& placement) const;
--- a/libs/relay/tests/permit_system_test.cpp
+++ b/libs/relay/tests/permit_system_test.cpp
@@ -214,6 +214,7 @@
     const auto isGranted = [&] {
         std::optional<permit_decision> decision;
         m_daemons["a2"]->permits.request({ limitedServer }, [&](const permit_decision& given) { decision = given; });
+        m_daemons["a2"]->permits.tick(m_time.now());
         EXPECT_TRUE(decision);
         return decision && decision->server;
     };
--- a/standins/tests/server_limit_test.cpp
+++ b/standins/tests/server_limit_test.cpp
@@ -189,4 +189,34 @@
     EXPECT_GE(arrivalsSince(start + ruleStart), 0.5 * 1.1 * toSeconds(m_time.now() - start - ruleStart));
 }
 
+// Guards against PINNED: a session that had moved to the new version went back to the old one when the servers of the
+// new version had used up their limits.
+TEST_F(ServerLimitTest, ASessionKeepsItsVersionWhereItsServersAreAtTheirLimits)
+{
+    m_limit = "0.1";
+    m_store.put("keyed.servers", "limited", serverEntry("desk", m_limited.address(), "ready", "v2"));
+    list("other", m_other);
+    m_store.put("keyed.op", "rollout/desk", R"({"service":"desk","target":"v2","duration-s":2})");
+    ASSERT_TRUE(m_loop.runUntil([&] { return m_store.newest("keyed.status", "rollout/desk").has_value(); }, patience));
+    const auto ask = [&] {
+        std::optional<int> status;
+        const http_request message { "GET", "/r/x",
+            { { "Host", "h.example" }, { "Pollenroute-Request-Id", "id" }, { "Session", "one" },
+                { "Pollenroute-Deadline-Ms", "1500" }, { "Pollenroute-Key", "key" } },
+            "" };
+        m_caller.fetch(m_daemons[0]->address(), message, {},
+            [&](const exchange_result&, const http_response& response) { status = response.status; });
+        EXPECT_TRUE(m_loop.runUntil([&] { return status.has_value(); }, patience));
+        return status.value_or(0);
+    };
+    const time_point end = m_time.now() + patience;
+    while (m_arrivals.empty() && m_time.now() < end)
+        EXPECT_EQ(ask(), 200);
+    ASSERT_FALSE(m_arrivals.empty());
+    const size_t before = m_other.requests().size();
+    EXPECT_EQ(ask(), 503);
+    EXPECT_EQ(ask(), 503);
+    EXPECT_EQ(m_other.requests().size(), before);
+}
+
 } // namespace pollen
