Spend nothing on permits while no server names a limit

Cause: every daemon copied and sorted the list of daemons four times a second, whether or not a limit was known; 295 daemons on the large site. Change: the list is read only while a limit is known.

--- a/libs/relay/src/permit_system.cpp
+++ b/libs/relay/src/permit_system.cpp
@@ -47,7 +47,8 @@
 {
     recordActivity(now);
     removeOverdue(now);
-    if (now < m_nextUpdate)
+    // Without limits nothing is asked for, and large fleets save the processor time.
+    if (m_limits.empty() || now < m_nextUpdate)
         return;
     m_nextUpdate = now + updateInterval;
     updateDaemons();
@@ -56,8 +57,7 @@
     if (!isAllocator())
         m_allocator.clear();
     updatePart(now);
-    if (!m_limits.empty())
-        checkDaemons(now);
+    checkDaemons(now);
 }
 
 void permit_system::recordActivity(time_point now)
--- a/libs/relay/tests/permit_fleet_test.cpp
+++ b/libs/relay/tests/permit_fleet_test.cpp
@@ -109,7 +109,7 @@
         }
         void fetch(const endpoint& peer, const std::string& request, state_callback callback) override
         {
-            m_fleet.transmit(m_self, peer.port, request, std::move(callback));
+            m_fleet.transmit(m_self, peer.port, request, callback);
         }
         void setSource(state_source source) override { m_fleet.m_daemons[m_self].source = std::move(source); }
 
@@ -187,7 +187,7 @@
         });
     }
 
-    void transmit(size_t from, size_t to, const std::string& request, state_exchange::state_callback callback)
+    void transmit(size_t from, size_t to, const std::string& request, const state_exchange::state_callback& callback)
     {
         if (m_daemons[from].cutUntil || m_daemons[to].cutUntil)
             return;
