--- a/libs/relay/tests/permit_system_test.cpp
+++ b/libs/relay/tests/permit_system_test.cpp
@@ -207,7 +207,7 @@
     const auto source = m_network.sources.at(m_daemons["a1"]->listed.address);
     duration pause { 0 };
     m_network.sources[m_daemons["a1"]->listed.address] = [&](const std::string& request) {
-        const std::string reply = source(request);
+        std::string reply = source(request);
         m_time.advance(pause);
         return reply;
     };
