A rejection without a limit does not end a limit

What could happen: a server in need whose queue is full turns requests away without naming its limit; each such answer ended the limit for the daemon, which then sent freely until the next answer that named it. Change: an answer that says that the request has not run ends no limit.

--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -377,8 +377,9 @@
 
 void relay_exchange::recordRateLimit(time_point now)
 {
-    // A misdirected request was answered by another server.
-    if (m_answer.misdirected)
+    // A misdirected request was answered by another server, and a server that is too busy to run a request has not
+    // ended its limit.
+    if (m_answer.misdirected || (m_answer.notRun && !m_answer.rateLimit && !m_answer.rateLimitUnreadable))
         return;
     if (m_answer.rateLimitUnreadable) {
         m_dependencies.log.write(log_level::Warning, "server_limit_unreadable",
--- a/standins/tests/server_limit_test.cpp
+++ b/standins/tests/server_limit_test.cpp
@@ -77,6 +77,10 @@
         return [this](const std::shared_ptr<server_request>& request) {
             const time_point now = m_time.now();
             m_arrivals.push_back(now);
+            if (m_rejectsEverySecond && m_arrivals.size() % 2 == 0) {
+                isFull(request);
+                return;
+            }
             http_headers headers;
             if (!m_limit.empty())
                 headers.emplace_back("Server-Limit", m_limit);
@@ -104,6 +108,8 @@
     store_standin m_store { m_loop, { "127.0.0.1", 0 } };
     std::string m_limit = "1.1";
     int m_limitedStatus = 200;
+    // Rejections do not name the limit.
+    bool m_rejectsEverySecond = false;
     std::vector<time_point> m_arrivals;
     backend_standin m_limited { m_loop, { namesLimit() } };
     backend_standin m_other { m_loop, { answers(200, "done") } };
@@ -158,6 +164,16 @@
     EXPECT_LE(mostArrivals(start + ruleStart), allowedInWindow(1.1));
 }
 
+// Guards against LIMIT: a server in need that turns requests away, as its queue is full, has not ended its limit.
+TEST_F(ServerLimitTest, ARejectionWithoutALimitDoesNotEndIt)
+{
+    m_rejectsEverySecond = true;
+    list("other", m_other);
+    const time_point start = m_time.now();
+    sendFor(std::chrono::seconds(9));
+    EXPECT_LE(mostArrivals(start + ruleStart), allowedInWindow(1.1));
+}
+
 // Guards against a server that is left out for good after its need has passed.
 TEST_F(ServerLimitTest, AServerThatNamesNoLimitAnyMoreGetsItsShareAgain)
 {
