Log the version, first byte and pace of each answered request

Callers got answers of bad versions, and no line told whether a slow version can be seen in its first bytes or only afterwards. request_ended now has the version of the last server, the time to its first byte, and the events after it with the time they took.

--- a/libs/relay/include/relay/event_splitter.h
+++ b/libs/relay/include/relay/event_splitter.h
@@ -20,11 +20,15 @@
     // Id of the last complete event that had one; none before the first such event.
     std::optional<uint64_t> lastEventId() const { return m_lastEventId; }
 
+    // Number of complete events so far.
+    size_t completeEvents() const { return m_completeEvents; }
+
 private:
     void readId(std::string_view event);
 
     std::string m_partialEvent;
     std::optional<uint64_t> m_lastEventId;
+    size_t m_completeEvents = 0;
 };
 
 } // namespace pollen
--- a/libs/relay/src/event_splitter.cpp
+++ b/libs/relay/src/event_splitter.cpp
@@ -30,6 +30,7 @@
     while (const auto end = endOfEvent(std::string_view(m_partialEvent).substr(complete))) {
         readId(std::string_view(m_partialEvent).substr(complete, *end));
         complete += *end;
+        ++m_completeEvents;
     }
     std::string events = m_partialEvent.substr(0, complete);
     m_partialEvent.erase(0, complete);
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -295,6 +295,8 @@
     m_status = 0;
     m_discard = false;
     m_discardedBytes = 0;
+    m_firstByteTime = {};
+    m_pace = {};
     m_underTrialLoad = !placement.onlyServers.empty() && !placement.parts.empty();
     m_dependencies.rolloutSystem.countSent(subject());
     m_firstByteTimer.start(
@@ -363,6 +365,7 @@
     if (!notRun) {
         m_execution = execution_state::MayHaveRun;
         ++m_runs;
+        m_firstByteTime = now - m_sentAt;
         m_firstByteTimer.stop(now);
     }
     const bool failed = status >= firstServerErrorStatus;
@@ -466,7 +469,9 @@
             stopAnswer();
         return;
     }
+    const size_t eventsBefore = m_events.completeEvents();
     const std::string events = m_events.feed(bytes);
+    m_pace.addEvents(m_events.completeEvents() - eventsBefore, m_dependencies.time.now());
     if (m_events.partialEvent().size() > maximumEventBytes) {
         stopAnswer();
         return;
@@ -738,8 +743,10 @@
         m_dependencies.log.write(good ? log_level::Info : log_level::Warning, "request_ended",
             { { "request", m_traits.id.text() }, { "route", m_admission.route ? m_admission.route->name : "" },
                 { "outcome", outcome }, { "reason", m_lastReason }, { "status", m_status },
-                { "server", m_serverId.text() }, { "attempts", static_cast<int64_t>(m_attempts) },
-                { "history", m_history.text() }, { "obstacle", m_noRetryReason },
+                { "server", m_serverId.text() }, { "version", m_version.text() },
+                { "first_byte_ms", toMilliseconds(m_firstByteTime) },
+                { "events", static_cast<int64_t>(m_pace.events()) }, { "stream_ms", toMilliseconds(m_pace.elapsed()) },
+                { "attempts", static_cast<int64_t>(m_attempts) }, { "history", m_history.text() }, { "obstacle", m_noRetryReason },
                 { "fingerprint", fingerprintText(m_admission.fingerprint) }, { "team", teamName() },
                 { "session", m_traits.session }, { "parts", static_cast<int64_t>(m_traits.parts.size()) },
                 { "ms", toMilliseconds(now - m_start) },
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -11,6 +11,7 @@
 #include <relay/first_byte_timer.h>
 #include <relay/relay_dependencies.h>
 #include <relay/stall_detector.h>
+#include <relay/stream_pace.h>
 
 namespace pollen {
 
@@ -125,6 +126,9 @@
     version_name m_version;
     time_point m_sentAt {};
     uint32_t m_unreadTokens = 0;
+    // From sending to the head of the answer.
+    duration m_firstByteTime { 0 };
+    stream_pace m_pace;
     bool m_countsAsNonTarget = false;
     // The attempt belongs to the load that a trial puts on a few engines.
     bool m_underTrialLoad = false;
