Judge the pace of streams, so that slow versions are found

Cause: slowness was looked for in first bytes alone. These wait for prompts, queues and cold caches and vary by seconds, so those of slow and sound versions overlap; some sound versions were rolled back for cold caches as well.

Change: pace_timer measures the median of a stream's first intervals between events, as early as they are there; pace_baseline compares it with the undisturbed interval of the service and model, which the fastest quarter of the streams of other versions shows. Slow pace is a symptom of its own; a usual pace speaks against slow first bytes.

Evidence: SlowVersionTest.AVersionWhoseStreamsRunSlowlyIsRolledBack failed before and passes.

--- a/apps/pollenrouted/platform_relay.h
+++ b/apps/pollenrouted/platform_relay.h
@@ -65,6 +65,7 @@
     log_budget m_failureLogBudget;
     crash_detector m_serverEnds;
     latency_baseline m_usualLatency;
+    pace_baseline m_usualPace;
     platform_protocol m_protocol;
     relay_dependencies m_shared;
     relay_gateway m_gateway;
--- a/libs/relay/include/relay/first_byte_timer.h
+++ b/libs/relay/include/relay/first_byte_timer.h
@@ -36,7 +36,6 @@
 
 private:
     latency_baseline::kind kind() const { return { m_attempt.subject.service.text(), m_attempt.model }; }
-    bool isOnTrial() const;
 
     latency_baseline& m_baseline;
     const rollout_table& m_table;
--- a/libs/relay/include/relay/relay_dependencies.h
+++ b/libs/relay/include/relay/relay_dependencies.h
@@ -12,6 +12,7 @@
 #include <relay/latency_baseline.h>
 #include <relay/log_budget.h>
 #include <relay/memory_budget.h>
+#include <relay/pace_baseline.h>
 #include <relay/permit_system.h>
 #include <relay/placement.h>
 #include <relay/relay_metrics.h>
@@ -52,6 +53,7 @@
     log_budget& failureLogBudget;
     // First-byte latencies of versions that are not being rolled out.
     latency_baseline& usualLatency;
+    pace_baseline& usualPace;
 };
 
 } // namespace pollen
--- a/libs/relay/include/relay/rollout.h
+++ b/libs/relay/include/relay/rollout.h
@@ -42,7 +42,7 @@
     friend bool operator==(const rollout_subject&, const rollout_subject&) = default;
 };
 
-// Time to the first byte compared with the baseline of its kind of request.
+// Time to the first byte, or between the events of a stream, compared with the baseline of its kind of request.
 enum class latency_grade {
     Normal,
     Slow,
--- a/libs/relay/include/relay/rollout_evidence.h
+++ b/libs/relay/include/relay/rollout_evidence.h
@@ -18,6 +18,11 @@
     uint64_t timed = 0;
     uint64_t slow = 0;
     uint64_t verySlow = 0;
+    // Streams whose pace was measured; those of them that were slow, including very slow ones; and those that were very
+    // slow.
+    uint64_t paced = 0;
+    uint64_t slowPaced = 0;
+    uint64_t verySlowPaced = 0;
 
     uint64_t completed() const { return good + bad; }
     version_answers& operator+=(const version_answers& other);
@@ -59,8 +64,8 @@
     std::vector<route_answers> m_routes;
 };
 
-// One line for logs: for the total and for each route, requests sent, failed of all answers, and slow and very slow of
-// all first bytes, of the new version and of the others.
+// One line for logs: for the total and for each route, requests sent, failed of all answers, slow and very slow of all
+// first bytes, and slow and very slow of all streams, of the new version and of the others.
 std::string toText(const rollout_evidence& evidence);
 
 } // namespace pollen
--- a/libs/relay/include/relay/rollout_system.h
+++ b/libs/relay/include/relay/rollout_system.h
@@ -43,6 +43,8 @@
     void countFirstByte(const rollout_subject& subject, latency_grade grade);
     // As countFirstByte(), but counted once `due` has passed.
     void countFirstByteAt(time_point due, const rollout_subject& subject, latency_grade grade);
+    // Counts a stream whose pace has been measured.
+    void countPace(const rollout_subject& subject, latency_grade grade);
     // A request starts or ends on a server of a version other than the target.
     void addOtherVersionRequest(const service_name& service) { ++m_otherVersionRequests[service]; }
     void removeOtherVersionRequest(const service_name& service) { --m_otherVersionRequests[service]; }
--- a/libs/relay/include/relay/rollout_table.h
+++ b/libs/relay/include/relay/rollout_table.h
@@ -50,6 +50,9 @@
     rollout_row* find(const service_name& service);
     const rollout_row* find(const service_name& service) const;
 
+    // Whether a running roll-out brings in this version.
+    bool isOnTrial(const service_name& service, const version_name& version) const;
+
     std::map<service_name, rollout_row>& rows() { return m_rows; }
     const std::map<service_name, rollout_row>& rows() const { return m_rows; }
 
--- a/libs/relay/include/relay/stream_pace.h
+++ b/libs/relay/include/relay/stream_pace.h
@@ -3,6 +3,7 @@
 #include <base/clock.h>
 #include <cstddef>
 #include <optional>
+#include <vector>
 
 namespace pollen {
 
@@ -17,14 +18,18 @@
     size_t events() const { return m_events; }
     duration elapsed() const { return m_last - m_first; }
 
-    // Mean time between events; none before the second event.
-    std::optional<duration> interval() const;
+    // Enough intervals have been measured for median() to be final.
+    bool isMeasured() const;
+    // Median of the first intervals between events; it ignores the pauses in which the server reads the prompts of
+    // other requests. None before two intervals.
+    std::optional<duration> median() const;
 
 private:
     bool m_started = false;
     size_t m_events = 0;
     time_point m_first {};
     time_point m_last {};
+    std::vector<duration> m_intervals;
 };
 
 } // namespace pollen
--- a/libs/relay/src/first_byte_timer.cpp
+++ b/libs/relay/src/first_byte_timer.cpp
@@ -20,7 +20,7 @@
     if (!std::exchange(m_running, false))
         return;
     const latency_grade grade = m_baseline.grade(kind(), now - m_sentAt, m_attempt.unreadTokens);
-    if (!isOnTrial())
+    if (!m_table.isOnTrial(m_attempt.subject.service, m_attempt.subject.version))
         m_baseline.count(kind(), now - m_sentAt, m_attempt.unreadTokens);
     if (std::exchange(m_counted, true))
         return;
@@ -35,10 +35,4 @@
     m_rollouts.countFirstByte(m_attempt.subject, latency_grade::VerySlow);
 }
 
-bool first_byte_timer::isOnTrial() const
-{
-    const rollout_row* row = m_table.find(m_attempt.subject.service);
-    return row && row->state == rollout_state::Running && row->order.target == m_attempt.subject.version;
-}
-
 } // namespace pollen
--- a/libs/relay/src/fleet_sync_message.cpp
+++ b/libs/relay/src/fleet_sync_message.cpp
@@ -16,7 +16,8 @@
 
 template <typename Archive> void serialize(Archive& archive, version_answers& answers)
 {
-    archive(answers.sent, answers.good, answers.bad, answers.timed, answers.slow, answers.verySlow);
+    archive(answers.sent, answers.good, answers.bad, answers.timed, answers.slow, answers.verySlow,
+        answers.paced, answers.slowPaced, answers.verySlowPaced);
 }
 
 template <typename Archive> void serialize(Archive& archive, route_answers& answers)
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -54,6 +54,7 @@
     , m_start(dependencies.time.now())
     , m_body(dependencies.answerMemory)
     , m_firstByteTimer(dependencies.usualLatency, dependencies.rollouts, dependencies.rolloutSystem)
+    , m_paceTimer(dependencies.usualPace, dependencies.rollouts, dependencies.rolloutSystem)
 {
 }
 
@@ -296,11 +297,11 @@
     m_discard = false;
     m_discardedBytes = 0;
     m_firstByteTime = {};
-    m_pace = {};
     m_underTrialLoad = !placement.onlyServers.empty() && !placement.parts.empty();
     m_dependencies.rolloutSystem.countSent(subject());
-    m_firstByteTimer.start(
-        { subject(), m_model, choice.unreadTokens, m_underTrialLoad || isSwitchingVersion() }, m_sentAt);
+    const bool hasUnusualLoad = m_underTrialLoad || isSwitchingVersion();
+    m_firstByteTimer.start({ subject(), m_model, choice.unreadTokens, hasUnusualLoad }, m_sentAt);
+    m_paceTimer.start(subject(), m_model, hasUnusualLoad);
     m_unreadTokens = choice.unreadTokens;
     ++m_attempts;
     m_triedServers.push_back(choice.server);
@@ -471,7 +472,7 @@
     }
     const size_t eventsBefore = m_events.completeEvents();
     const std::string events = m_events.feed(bytes);
-    m_pace.addEvents(m_events.completeEvents() - eventsBefore, m_dependencies.time.now());
+    m_paceTimer.addEvents(m_events.completeEvents() - eventsBefore, m_dependencies.time.now());
     if (m_events.partialEvent().size() > maximumEventBytes) {
         stopAnswer();
         return;
@@ -574,6 +575,7 @@
         if (!m_events.partialEvent().empty() || !m_streamStarted)
             forwardEvents(m_events.partialEvent());
         m_request->endStream();
+        m_paceTimer.stop();
         recordAnswerPace();
     } else {
         m_dependencies.metrics.observeFirstByte(
@@ -745,7 +747,8 @@
                 { "outcome", outcome }, { "reason", m_lastReason }, { "status", m_status },
                 { "server", m_serverId.text() }, { "version", m_version.text() },
                 { "first_byte_ms", toMilliseconds(m_firstByteTime) },
-                { "events", static_cast<int64_t>(m_pace.events()) }, { "stream_ms", toMilliseconds(m_pace.elapsed()) },
+                { "events", static_cast<int64_t>(m_paceTimer.pace().events()) },
+                { "stream_ms", toMilliseconds(m_paceTimer.pace().elapsed()) },
                 { "attempts", static_cast<int64_t>(m_attempts) }, { "history", m_history.text() }, { "obstacle", m_noRetryReason },
                 { "fingerprint", fingerprintText(m_admission.fingerprint) }, { "team", teamName() },
                 { "session", m_traits.session }, { "parts", static_cast<int64_t>(m_traits.parts.size()) },
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -9,9 +9,9 @@
 #include <relay/attempt_history.h>
 #include <relay/event_splitter.h>
 #include <relay/first_byte_timer.h>
+#include <relay/pace_timer.h>
 #include <relay/relay_dependencies.h>
 #include <relay/stall_detector.h>
-#include <relay/stream_pace.h>
 
 namespace pollen {
 
@@ -86,8 +86,8 @@
     void finishAnswer();
     void onExchangeFailed(const exchange_result& result);
     void countAnswer(bool good);
-    // All requests of the service are being moved to another version. For some time, many first bytes are late for
-    // that reason alone.
+    // All requests of the service are being moved to another version. For some time, many first bytes are late and
+    // streams slow for that reason alone.
     bool isSwitchingVersion() const;
     rollout_subject subject() const;
     // Takes one repeat from the daemon's allowance; false if it is exhausted.
@@ -128,7 +128,6 @@
     uint32_t m_unreadTokens = 0;
     // From sending to the head of the answer.
     duration m_firstByteTime { 0 };
-    stream_pace m_pace;
     bool m_countsAsNonTarget = false;
     // The attempt belongs to the load that a trial puts on a few engines.
     bool m_underTrialLoad = false;
@@ -172,6 +171,7 @@
     attempt_history m_history;
     stall_detector m_silence;
     first_byte_timer m_firstByteTimer;
+    pace_timer m_paceTimer;
 };
 
 } // namespace pollen
--- a/libs/relay/src/rollout_system.cpp
+++ b/libs/relay/src/rollout_system.cpp
@@ -152,6 +152,16 @@
     answers->verySlow += grade == latency_grade::VerySlow ? 1 : 0;
 }
 
+void rollout_system::countPace(const rollout_subject& subject, latency_grade grade)
+{
+    version_answers* answers = answersFor(subject);
+    if (!answers)
+        return;
+    ++answers->paced;
+    answers->slowPaced += grade >= latency_grade::Slow ? 1 : 0;
+    answers->verySlowPaced += grade == latency_grade::VerySlow ? 1 : 0;
+}
+
 void rollout_system::countFirstByteAt(time_point due, const rollout_subject& subject, latency_grade grade)
 {
     if (answersFor(subject))
--- a/libs/relay/src/rollout_table.cpp
+++ b/libs/relay/src/rollout_table.cpp
@@ -36,4 +36,10 @@
     return found == m_rows.end() ? nullptr : &found->second;
 }
 
+bool rollout_table::isOnTrial(const service_name& service, const version_name& version) const
+{
+    const rollout_row* row = find(service);
+    return row && row->state == rollout_state::Running && row->order.target == version;
+}
+
 } // namespace pollen
--- a/libs/relay/tests/rollout_exposure_test.cpp
+++ b/libs/relay/tests/rollout_exposure_test.cpp
@@ -60,8 +60,7 @@
             * (1 + swing * std::sin(2 * pi * (toSeconds(at) / wavePeriodSeconds + phase)));
         for (; due >= 1; due -= 1) {
             const rollout_row* row = table.find(service);
-            const bool tries = row
-                && (played.sessions ? point(random) < row->share : row->takesSessionlessRequests);
+            const bool tries = row && (played.sessions ? point(random) < row->share : row->takesSessionlessRequests);
             seen.requests += 1;
             seen.onTarget += tries ? 1 : 0;
             open.push_back({ at + played.answerTime, tries });
--- a/libs/relay/tests/rollout_test.cpp
+++ b/libs/relay/tests/rollout_test.cpp
@@ -51,7 +51,13 @@
 }
 
 // Completed answers, none of them slow.
-version_answers answered(uint64_t good, uint64_t bad) { return { good + bad, good, bad, good + bad, 0, 0 }; }
+version_answers answered(uint64_t good, uint64_t bad) { return { good + bad, good, bad, good + bad, 0, 0, 0, 0, 0 }; }
+
+// Completed streams, some of them slow after their first byte.
+version_answers paced(uint64_t streams, uint64_t slow, uint64_t verySlow = 0)
+{
+    return { streams, streams, 0, streams, 0, 0, streams, slow, verySlow };
+}
 
 } // namespace
 
@@ -88,6 +94,24 @@
         { "fails only where a trial loads its servers",
             { { "a", answered(60, 0), fine }, { rollout_evidence::underLoad, answered(14, 7), {} } },
             rollout_verdict::Bad },
+        { "streams run slowly", { { "a", paced(30, 29), paced(100, 20) } }, rollout_verdict::Bad },
+        { "streams as slow as the others", { { "a", paced(30, 8), paced(100, 20) } }, rollout_verdict::Good },
+        { "streams somewhat slower than the others", { { "a", paced(30, 13), paced(100, 6) } },
+            rollout_verdict::Undecided },
+        { "slow first bytes of streams with the usual pace",
+            { { "a", { 40, 30, 0, 40, 22, 20, 30, 3, 2 }, { 100, 100, 0, 100, 20, 14, 100, 30, 20 } } },
+            rollout_verdict::Good },
+        { "slow first bytes of streams that do not continue",
+            { { "a", { 40, 0, 0, 40, 36, 36, 0, 0, 0 }, { 100, 100, 0, 100, 20, 14, 100, 30, 20 } } },
+            rollout_verdict::Bad },
+        { "very slow first bytes, however quick the rest",
+            { { "a", { 60, 60, 0, 60, 56, 56, 60, 0, 0 }, { 100, 100, 0, 100, 10, 5, 100, 10, 5 } } },
+            rollout_verdict::Bad },
+        { "streams slow under a load that slows the others, too", { { "a", paced(30, 22), paced(100, 60) } },
+            rollout_verdict::Good },
+        { "streams very slow under a load that slows the others, too",
+            { { "a", paced(14, 14, 14), paced(100, 55, 10) } }, rollout_verdict::Bad },
+        { "too few slow streams", { { "a", paced(6, 6), paced(100, 20) } }, rollout_verdict::Undecided },
         { "no answers on one route yet", { { "a", answered(60, 0), fine }, { "b", {}, fine } },
             rollout_verdict::Undecided },
     };
--- a/standins/tests/slow_version_test.cpp
+++ b/standins/tests/slow_version_test.cpp
@@ -65,8 +65,8 @@
         EXPECT_TRUE(m_loop.runUntil([&] { return daemon.relay().gateway().ready(); }, patience));
         timer caller(m_loop, [&] { sendStream(daemon.address()); });
         caller.startRepeating(std::chrono::milliseconds(15));
-        EXPECT_TRUE(m_loop.runUntil(
-            [&] { return m_store.newest("keyed.status", "rollout/advice").has_value(); }, patience));
+        EXPECT_TRUE(
+            m_loop.runUntil([&] { return m_store.newest("keyed.status", "rollout/advice").has_value(); }, patience));
         return m_store.newest("keyed.status", "rollout/advice").value_or("");
     }
 
