Hold back prompt parts under which servers crash

Cause: crashes were counted by the fingerprint of the whole request, so that each new request with the part was tried on three servers before it was refused. Class: a finding was tied to the occurrence and not to what the occurrences have in common.

Change: parts have fingerprints beside requests. Each crash counts against all shared parts of all requests on the server; an answer clears a part for a minute; a part whose crashes are all explained by another one is not held against requests without that one. Leaders pass on what their group knows when they ask other daemons while the store is away, and crashes in a reply are taken whatever the age of the rest.

Evidence: two tests over sockets failed before (20 of 20 servers ended, sound requests refused for want of servers) and pass.

--- a/libs/relay/include/relay/crash_detector.h
+++ b/libs/relay/include/relay/crash_detector.h
@@ -15,6 +15,8 @@
 // A request whose connection to a server broke or stalled while the server ran it.
 struct suspected_crash {
     uint64_t fingerprint = 0;
+    // Fingerprints of the parts of its prompt that other requests may share.
+    std::vector<uint64_t> parts;
     request_id request;
     instance_id server;
     endpoint address;
@@ -40,8 +42,9 @@
 
     void suspect(const suspected_crash& crash);
 
-    // The request must not be sent to another server: it is quarantined, or would be if all suspicions were confirmed.
-    bool mayNotRunAgain(uint64_t fingerprint) const;
+    // The request must not be sent to another server: it is quarantined, or would be if all suspicions were confirmed,
+    // or one of its parts crashes servers.
+    bool mayNotRunAgain(uint64_t fingerprint, const std::vector<uint64_t>& parts) const;
 
 private:
     enum class suspicion_stage {
@@ -69,6 +72,7 @@
     void advance(open_suspicion& suspicion, time_point now);
     void removeDone();
     void confirm(open_suspicion& suspicion);
+    void withdraw(const open_suspicion& suspicion);
     void logVerdict(const open_suspicion& suspicion, const char* verdict);
 
     crash_table& m_table;
--- a/libs/relay/include/relay/crash_table.h
+++ b/libs/relay/include/relay/crash_table.h
@@ -10,6 +10,11 @@
 // Requests that crashed servers, merged from the reports of all daemons. A request is quarantined, that is, sent to no
 // further server, after three crashes without a response from any server.
 //
+// Prompt parts are judged likewise, by the crashes under all requests that contain them: a part is suspected after
+// three crashes under two requests or more, unless a request with it was answered. A crashed server takes down sound
+// requests and, in the crashing one, sound parts with it. A part whose crashes all happened under another suspected
+// part too is therefore not held against requests without that other part.
+//
 // Times are Unix milliseconds. Clock steps of a few seconds between daemons are small compared with the durations used
 // here.
 class crash_table {
@@ -20,8 +25,9 @@
     {
     }
 
-    // Records that a server crashed while it ran the request for this daemon.
-    void addCrash(uint64_t fingerprint, const instance_id& server, int64_t now);
+    // Records that a server crashed while it ran the request for this daemon. fingerprint: that of the request or of
+    // one of its parts.
+    void addCrash(uint64_t fingerprint, const instance_id& server, int64_t now, uint64_t request = 0);
 
     // Removes a crash recorded by addCrash() after it turned out that the server had not crashed.
     void withdrawCrash(uint64_t fingerprint, const instance_id& server, int64_t timeMilliseconds);
@@ -40,6 +46,9 @@
     // last 10 s.
     bool isQuarantined(uint64_t fingerprint, int64_t now, size_t suspectedCrashes = 0) const;
 
+    // Whether one of the parts of a request's prompt probably crashes servers.
+    bool containsCrashingPart(const std::vector<uint64_t>& parts, int64_t now) const;
+
     // Crashes that count towards the quarantine: those not explained by a response.
     size_t countCrashes(uint64_t fingerprint) const;
 
@@ -73,6 +82,8 @@
     static int64_t lastAnswerMilliseconds(const entry& request);
     // Crashes that no response explains, oldest first. Crashes seen by several daemons count once.
     static std::vector<server_crash> unexplainedCrashes(const entry& request);
+    // Whether each crash of one part happened under the other as well.
+    static bool isExplainedBy(const std::vector<server_crash>& crashes, const std::vector<server_crash>& others);
     static int64_t lastEventMilliseconds(const entry& request);
     static bool isQuarantined(const entry& request, int64_t now);
     // Requests whose last event is older exceed the maximum number of requests.
@@ -87,7 +98,7 @@
 
     instance_id m_self;
     std::unordered_map<uint64_t, entry> m_requests;
-    // Time of the last response to each request that this daemon saw answered within the last 10 s.
+    // Time of the last response to each request and part that this daemon saw answered recently.
     std::unordered_map<uint64_t, int64_t> m_answerMilliseconds;
 };
 
--- a/libs/relay/src/admission.cpp
+++ b/libs/relay/src/admission.cpp
@@ -25,7 +25,15 @@
     uint64_t hash = found.team ? hashOf(found.team->name.text()) : 0;
     for (const std::string* part : { &request.method, &host, &request.target, &request.body })
         hash = hashOf(*part, hash);
-    return hash;
+    return requestFingerprint(hash);
+}
+
+std::vector<uint64_t> sharedParts(const request_traits& traits)
+{
+    std::vector<uint64_t> parts;
+    for (size_t i = 0; i + 1 < traits.parts.size(); ++i)
+        parts.push_back(partFingerprint(traits.parts[i].id));
+    return parts;
 }
 
 std::optional<refusal> findTeam(
@@ -69,8 +77,12 @@
     const duration routeTimeout = found.route->timeout;
     found.deadline = now + (routeTimeout.count() > 0 ? std::min(callerTimeout, routeTimeout) : callerTimeout);
     found.fingerprint = fingerprintOf(found, request, host);
-    if (dependencies.crashes.isQuarantined(found.fingerprint, dependencies.time.wallMilliseconds()))
+    found.parts = sharedParts(traits);
+    const int64_t wallTime = dependencies.time.wallMilliseconds();
+    if (dependencies.crashes.isQuarantined(found.fingerprint, wallTime))
         found.refused = refusal { statusUnavailable, "request_breaks_servers", retryAfterQuarantine };
+    else if (dependencies.crashes.containsCrashingPart(found.parts, wallTime))
+        found.refused = refusal { statusUnavailable, "prompt_part_breaks_servers", retryAfterQuarantine };
     return found;
 }
 
--- a/libs/relay/src/admission.h
+++ b/libs/relay/src/admission.h
@@ -23,6 +23,8 @@
     time_point deadline {};
     // Hash of team, method, host, target and body. Identifies requests that are quarantined together.
     uint64_t fingerprint = 0;
+    // Those of the parts of its prompt that other requests may share: all but the last.
+    std::vector<uint64_t> parts;
     std::optional<refusal> refused;
 };
 
--- a/libs/relay/src/crash_detector.cpp
+++ b/libs/relay/src/crash_detector.cpp
@@ -15,6 +15,16 @@
 // Further suspicions are not checked: that many at once indicate a network fault.
 constexpr size_t maximumSuspicions = 512;
 
+std::string partsText(const std::vector<uint64_t>& parts)
+{
+    std::string text;
+    for (const uint64_t part : parts) {
+        text += fingerprintText(part);
+        text += ' ';
+    }
+    return text;
+}
+
 } // namespace
 
 crash_detector::crash_detector(crash_table& table, const relay_state& state, reachability_probe& probe,
@@ -82,7 +92,7 @@
     if (now < suspicion.entryExpiry || now - m_state.configurationConfirmedAt() > maximumStateAge)
         return;
     if (!silent)
-        m_table.withdrawCrash(suspicion.crash.fingerprint, suspicion.crash.server, suspicion.timeMilliseconds);
+        withdraw(suspicion);
     logVerdict(suspicion, silent ? "unknown" : "withdrawn");
     suspicion.stage = suspicion_stage::Done;
 }
@@ -104,12 +114,25 @@
 void crash_detector::confirm(open_suspicion& suspicion)
 {
     suspicion.stage = suspicion_stage::Confirmed;
-    m_table.addCrash(suspicion.crash.fingerprint, suspicion.crash.server, suspicion.timeMilliseconds);
+    const suspected_crash& crash = suspicion.crash;
+    m_table.addCrash(crash.fingerprint, crash.server, suspicion.timeMilliseconds, crash.fingerprint);
+    for (const uint64_t part : crash.parts)
+        m_table.addCrash(part, crash.server, suspicion.timeMilliseconds, crash.fingerprint);
     logVerdict(suspicion, "ended");
 }
 
-bool crash_detector::mayNotRunAgain(uint64_t fingerprint) const
+void crash_detector::withdraw(const open_suspicion& suspicion)
 {
+    const suspected_crash& crash = suspicion.crash;
+    m_table.withdrawCrash(crash.fingerprint, crash.server, suspicion.timeMilliseconds);
+    for (const uint64_t part : crash.parts)
+        m_table.withdrawCrash(part, crash.server, suspicion.timeMilliseconds);
+}
+
+bool crash_detector::mayNotRunAgain(uint64_t fingerprint, const std::vector<uint64_t>& parts) const
+{
+    if (m_table.containsCrashingPart(parts, m_time.wallMilliseconds()))
+        return true;
     std::set<instance_id> suspected;
     for (const open_suspicion& suspicion : m_suspicions) {
         if (suspicion.stage != suspicion_stage::Confirmed && suspicion.crash.fingerprint == fingerprint)
@@ -127,7 +150,8 @@
     m_log.write(log_level::Info, "server_end_checked",
         { { "request", crash.request.text() }, { "fingerprint", fingerprintText(crash.fingerprint) },
             { "server", crash.server.text() }, { "service", crash.service.text() }, { "sign", crash.symptom },
-            { "verdict", verdict }, { "after_ms", m_time.wallMilliseconds() - suspicion.timeMilliseconds },
+            { "parts", partsText(crash.parts) }, { "verdict", verdict },
+            { "after_ms", m_time.wallMilliseconds() - suspicion.timeMilliseconds },
             { "ends", static_cast<int64_t>(m_table.countCrashes(crash.fingerprint)) } });
 }
 
--- a/libs/relay/src/crash_table.cpp
+++ b/libs/relay/src/crash_table.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
+#include <cstdlib>
 #include <limits>
 #include <relay/crash_table.h>
+#include <set>
 
 namespace pollen {
 
@@ -14,6 +16,11 @@
 // A response explains crashes up to this long after it: if servers crash while a request is answered often, the cause
 // is another one.
 constexpr int64_t answerCoverageMilliseconds = 10000;
+// A response to a request with a prompt part shows for longer that the part is harmless, as its other parts and the
+// load on the server do not matter for that.
+constexpr int64_t partAnswerCoverageMilliseconds = 60000;
+// Crashes under fewer requests may have been caused by any of their parts.
+constexpr size_t requestsUntilQuarantineOfPart = 2;
 // A quarantined request may be sent again after this time without a further crash; another crash renews the quarantine.
 constexpr int64_t quarantineMilliseconds = 600000;
 // A crash no longer counts after this time.
@@ -27,6 +34,25 @@
 // About 25 kB per batch.
 constexpr size_t maximumBatchReports = 256;
 
+int64_t answerCoverage(uint64_t fingerprint)
+{
+    return isPartFingerprint(fingerprint) ? partAnswerCoverageMilliseconds : answerCoverageMilliseconds;
+}
+
+size_t countRequests(const std::vector<server_crash>& crashes)
+{
+    std::set<uint64_t> requests;
+    for (const server_crash& crash : crashes)
+        requests.insert(crash.request);
+    return requests.size();
+}
+
+bool isSameCrash(const server_crash& left, const server_crash& right)
+{
+    return left.server == right.server
+        && std::abs(left.timeMilliseconds - right.timeMilliseconds) < sameCrashMilliseconds;
+}
+
 } // namespace
 
 crash_report& crash_table::updateOwnReport(uint64_t fingerprint, entry& request)
@@ -37,14 +63,14 @@
     return own;
 }
 
-void crash_table::addCrash(uint64_t fingerprint, const instance_id& server, int64_t now)
+void crash_table::addCrash(uint64_t fingerprint, const instance_id& server, int64_t now, uint64_t request)
 {
-    entry& request = m_requests[fingerprint];
-    std::vector<server_crash>& crashes = updateOwnReport(fingerprint, request).crashes;
-    crashes.push_back({ server, now });
+    entry& known = m_requests[fingerprint];
+    std::vector<server_crash>& crashes = updateOwnReport(fingerprint, known).crashes;
+    crashes.push_back({ server, now, request });
     if (crashes.size() > maximumCrashesPerReport)
         crashes.erase(crashes.begin());
-    applyAnswer(fingerprint, request);
+    applyAnswer(fingerprint, known);
 }
 
 void crash_table::withdrawCrash(uint64_t fingerprint, const instance_id& server, int64_t timeMilliseconds)
@@ -52,7 +78,9 @@
     const auto found = m_requests.find(fingerprint);
     if (found == m_requests.end())
         return;
-    std::erase(updateOwnReport(fingerprint, found->second).crashes, server_crash { server, timeMilliseconds });
+    std::erase_if(updateOwnReport(fingerprint, found->second).crashes, [&](const server_crash& crash) {
+        return crash.server == server && crash.timeMilliseconds == timeMilliseconds;
+    });
 }
 
 void crash_table::addAnswer(uint64_t fingerprint, int64_t now)
@@ -70,7 +98,7 @@
         return;
     const std::vector<server_crash> crashes = unexplainedCrashes(request);
     const bool explains = std::any_of(crashes.begin(), crashes.end(), [&](const server_crash& crash) {
-        return crash.timeMilliseconds <= answer->second + answerCoverageMilliseconds;
+        return crash.timeMilliseconds <= answer->second + answerCoverage(fingerprint);
     });
     if (explains)
         updateOwnReport(fingerprint, request).lastAnswerMilliseconds = answer->second;
@@ -135,7 +163,7 @@
     std::vector<server_crash> crashes;
     for (const auto& [daemon, row] : request.byDaemon) {
         for (const server_crash& crash : row.report.crashes) {
-            if (answer == 0 || crash.timeMilliseconds > answer + answerCoverageMilliseconds)
+            if (answer == 0 || crash.timeMilliseconds > answer + answerCoverage(row.report.key.fingerprint))
                 crashes.push_back(crash);
         }
     }
@@ -143,10 +171,8 @@
         [](const auto& left, const auto& right) { return left.timeMilliseconds < right.timeMilliseconds; });
     std::vector<server_crash> distinct;
     for (const server_crash& crash : crashes) {
-        const bool known = std::any_of(distinct.begin(), distinct.end(), [&](const server_crash& other) {
-            return other.server == crash.server
-                && crash.timeMilliseconds - other.timeMilliseconds < sameCrashMilliseconds;
-        });
+        const bool known = std::any_of(
+            distinct.begin(), distinct.end(), [&](const server_crash& other) { return isSameCrash(crash, other); });
         if (!known)
             distinct.push_back(crash);
     }
@@ -166,7 +192,36 @@
 bool crash_table::isQuarantined(const entry& request, int64_t now)
 {
     const std::vector<server_crash> crashes = unexplainedCrashes(request);
-    return crashes.size() >= crashesUntilQuarantine && now - crashes.back().timeMilliseconds < quarantineMilliseconds;
+    if (crashes.size() < crashesUntilQuarantine || now - crashes.back().timeMilliseconds >= quarantineMilliseconds)
+        return false;
+    const bool isPart = isPartFingerprint(request.byDaemon.begin()->second.report.key.fingerprint);
+    return !isPart || countRequests(crashes) >= requestsUntilQuarantineOfPart;
+}
+
+bool crash_table::isExplainedBy(const std::vector<server_crash>& crashes, const std::vector<server_crash>& others)
+{
+    return std::all_of(crashes.begin(), crashes.end(), [&](const server_crash& crash) {
+        return std::any_of(
+            others.begin(), others.end(), [&](const server_crash& other) { return isSameCrash(crash, other); });
+    });
+}
+
+bool crash_table::containsCrashingPart(const std::vector<uint64_t>& parts, int64_t now) const
+{
+    for (const uint64_t part : parts) {
+        const auto found = m_requests.find(part);
+        if (found == m_requests.end() || !isQuarantined(found->second, now))
+            continue;
+        const std::vector<server_crash> crashes = unexplainedCrashes(found->second);
+        const bool isExplained = std::any_of(m_requests.begin(), m_requests.end(), [&](const auto& item) {
+            const auto& [other, entry] = item;
+            return isPartFingerprint(other) && std::find(parts.begin(), parts.end(), other) == parts.end()
+                && isQuarantined(entry, now) && isExplainedBy(crashes, unexplainedCrashes(entry));
+        });
+        if (!isExplained)
+            return true;
+    }
+    return false;
 }
 
 bool crash_table::isQuarantined(uint64_t fingerprint, int64_t now, size_t suspectedCrashes) const
@@ -270,7 +325,7 @@
 void crash_table::sweep(int64_t now)
 {
     std::erase_if(
-        m_answerMilliseconds, [&](const auto& item) { return now - item.second >= answerCoverageMilliseconds; });
+        m_answerMilliseconds, [&](const auto& item) { return now - item.second >= answerCoverage(item.first); });
     // Requests with stored reports are kept until drop() removes the reports.
     const int64_t oldest = oldestKeptMilliseconds();
     std::erase_if(m_requests,
--- a/libs/relay/src/fleet_sync.cpp
+++ b/libs/relay/src/fleet_sync.cpp
@@ -174,7 +174,8 @@
     request.sender = m_self.id;
     request.reports = m_rollouts.groupReports(now);
     request.work = ownWork();
-    request.crashes = m_crashTable.ownUnstored();
+    // A leader speaks for its group: while the store is away, other groups learn from it directly.
+    request.crashes = m_isLeader ? m_crashTable.unstored() : m_crashTable.ownUnstored();
     request.rateLimits = m_rateLimits.notices(now);
     m_requestedPeer = peer;
     m_requestedAt = now;
@@ -204,6 +205,9 @@
         recordFailure(peer, "unreadable", now);
         return;
     }
+    // Crashes do not become wrong with the age of the rest.
+    for (const crash_report& report : reply.crashes)
+        m_crashTable.merge(report, false);
     const std::vector<shared_topic*> topics = m_store.topics();
     if (reply.changes.size() != topics.size() || reply.changes.front().age > m_limits.maximumPeerAge) {
         m_staleReplyAt = now;
@@ -216,8 +220,6 @@
     for (const rollout_report& total : reply.totals)
         m_rollouts.receiveTotalReport(total, now);
     applyPeerWork(reply.work);
-    for (const crash_report& report : reply.crashes)
-        m_crashTable.merge(report, false);
     for (const rate_limit_notice& notice : reply.rateLimits)
         m_rateLimits.merge(notice, requestedAt);
     m_penalties.erase(peer);
--- a/libs/relay/src/fleet_sync_message.cpp
+++ b/libs/relay/src/fleet_sync_message.cpp
@@ -16,8 +16,8 @@
 
 template <typename Archive> void serialize(Archive& archive, version_answers& answers)
 {
-    archive(answers.sent, answers.good, answers.bad, answers.timed, answers.slow, answers.verySlow,
-        answers.paced, answers.slowPaced, answers.verySlowPaced);
+    archive(answers.sent, answers.good, answers.bad, answers.timed, answers.slow, answers.verySlow, answers.paced,
+        answers.slowPaced, answers.verySlowPaced);
 }
 
 template <typename Archive> void serialize(Archive& archive, route_answers& answers)
@@ -50,7 +50,7 @@
 
 template <typename Archive> void serialize(Archive& archive, server_crash& end)
 {
-    archive(end.server, end.timeMilliseconds);
+    archive(end.server, end.timeMilliseconds, end.request);
 }
 
 template <typename Archive> void serialize(Archive& archive, crash_report& report)
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -535,7 +535,7 @@
         return;
     }
     m_dependencies.state.servers().reportSuccess(server);
-    m_dependencies.crashes.addAnswer(m_admission.fingerprint, m_dependencies.time.wallMilliseconds());
+    recordAnswerForCrashes();
     countAnswer(m_status < firstServerErrorStatus);
     if (m_discard) {
         retryOrFail("server_error", true);
@@ -544,6 +544,14 @@
     finishAnswer();
 }
 
+void relay_exchange::recordAnswerForCrashes()
+{
+    const int64_t now = m_dependencies.time.wallMilliseconds();
+    m_dependencies.crashes.addAnswer(m_admission.fingerprint, now);
+    for (const uint64_t part : m_admission.parts)
+        m_dependencies.crashes.addAnswer(part, now);
+}
+
 bool relay_exchange::isSwitchingVersion() const
 {
     const rollout_row* rollout = m_dependencies.rollouts.find(m_service);
@@ -637,7 +645,7 @@
     m_lastReason = reason;
     if (m_execution != execution_state::NotRun && !m_admission.route->mayRepeat())
         m_noRetryReason = "may_have_run";
-    else if (m_dependencies.crashDetector.mayNotRunAgain(m_admission.fingerprint))
+    else if (m_dependencies.crashDetector.mayNotRunAgain(m_admission.fingerprint, m_admission.parts))
         m_noRetryReason = "request_breaks_servers";
     else if (!hasAttemptsLeft())
         m_noRetryReason = "no_attempt_left";
@@ -665,8 +673,8 @@
 
 void relay_exchange::suspectCrash(const char* sign)
 {
-    m_dependencies.crashDetector.suspect(
-        { m_admission.fingerprint, m_traits.id, m_serverId, m_serverAddress, m_service, sign, m_serverStarted });
+    m_dependencies.crashDetector.suspect({ m_admission.fingerprint, m_admission.parts, m_traits.id, m_serverId,
+        m_serverAddress, m_service, sign, m_serverStarted });
 }
 
 void relay_exchange::failRequest(const char* reason)
@@ -749,10 +757,10 @@
                 { "first_byte_ms", toMilliseconds(m_firstByteTime) },
                 { "events", static_cast<int64_t>(m_paceTimer.pace().events()) },
                 { "stream_ms", toMilliseconds(m_paceTimer.pace().elapsed()) },
-                { "attempts", static_cast<int64_t>(m_attempts) }, { "history", m_history.text() }, { "obstacle", m_noRetryReason },
-                { "fingerprint", fingerprintText(m_admission.fingerprint) }, { "team", teamName() },
-                { "session", m_traits.session }, { "parts", static_cast<int64_t>(m_traits.parts.size()) },
-                { "ms", toMilliseconds(now - m_start) },
+                { "attempts", static_cast<int64_t>(m_attempts) }, { "history", m_history.text() },
+                { "obstacle", m_noRetryReason }, { "fingerprint", fingerprintText(m_admission.fingerprint) },
+                { "team", teamName() }, { "session", m_traits.session },
+                { "parts", static_cast<int64_t>(m_traits.parts.size()) }, { "ms", toMilliseconds(now - m_start) },
                 { "configuration",
                     m_admission.configuration ? m_admission.configuration->configuration().version : 0 } });
     }
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -92,6 +92,8 @@
     rollout_subject subject() const;
     // Takes one repeat from the daemon's allowance; false if it is exhausted.
     bool takeRepeat(const service_name& service);
+    // A complete answer shows that neither the request nor any of its parts crashes servers.
+    void recordAnswerForCrashes();
     // Reports that the server may have crashed while it ran the request. sign: the symptom, for log and metrics.
     void suspectCrash(const char* sign);
 
--- a/libs/relay/tests/crash_detector_test.cpp
+++ b/libs/relay/tests/crash_detector_test.cpp
@@ -45,7 +45,7 @@
 
     void suspect(const char* server)
     {
-        m_detector.suspect({ crashingRequest, request_id("r"), instance_id(server), { "127.0.0.1", 1 },
+        m_detector.suspect({ crashingRequest, {}, request_id("r"), instance_id(server), { "127.0.0.1", 1 },
             service_name("s"), "connection_lost", 5 });
     }
 
@@ -121,11 +121,11 @@
     for (const char* server : { "i-1", "i-2", "i-3" })
         suspect(server);
     m_probe.answer(probe_result::Refused);
-    EXPECT_TRUE(m_detector.mayNotRunAgain(crashingRequest));
+    EXPECT_TRUE(m_detector.mayNotRunAgain(crashingRequest, {}));
     run(std::chrono::seconds(9));
-    EXPECT_TRUE(m_detector.mayNotRunAgain(crashingRequest));
+    EXPECT_TRUE(m_detector.mayNotRunAgain(crashingRequest, {}));
     run(std::chrono::seconds(2));
-    EXPECT_FALSE(m_detector.mayNotRunAgain(crashingRequest));
+    EXPECT_FALSE(m_detector.mayNotRunAgain(crashingRequest, {}));
 }
 
 TEST_F(CrashDetectorTest, AnOutdatedFleetStateWithdrawsNothing)
@@ -144,11 +144,11 @@
     suspect("i-1");
     suspect("i-1");
     suspect("i-2");
-    EXPECT_FALSE(m_detector.mayNotRunAgain(crashingRequest)) << "two servers";
+    EXPECT_FALSE(m_detector.mayNotRunAgain(crashingRequest, {})) << "two servers";
     suspect("i-3");
-    EXPECT_TRUE(m_detector.mayNotRunAgain(crashingRequest));
+    EXPECT_TRUE(m_detector.mayNotRunAgain(crashingRequest, {}));
     m_table.addAnswer(crashingRequest, m_time.wallMilliseconds());
-    EXPECT_FALSE(m_detector.mayNotRunAgain(crashingRequest)) << "another server has just answered the request";
+    EXPECT_FALSE(m_detector.mayNotRunAgain(crashingRequest, {})) << "another server has just answered the request";
 }
 
 } // namespace pollen
--- a/libs/relay/tests/crash_table_test.cpp
+++ b/libs/relay/tests/crash_table_test.cpp
@@ -256,4 +256,40 @@
     EXPECT_EQ(store.crashReports.size(), 2U);
 }
 
+// Guards against BUDGET: requests with one deadly part, no two alike, were each tried on servers again.
+TEST(CrashTable, APartIsHeldAgainstRequestsOnceItsCrashesHaveNoOtherExplanation)
+{
+    constexpr uint64_t deadly = 7;
+    constexpr uint64_t shared = 8;
+    constexpr uint64_t other = 9;
+    const std::vector<uint64_t> both { partFingerprint(shared), partFingerprint(deadly) };
+    crash_table table(instance_id("a"));
+    const auto crash = [&](int number, uint64_t request, uint64_t neighbour) {
+        for (const uint64_t part : { neighbour, deadly })
+            table.addCrash(partFingerprint(part), server(number), start + number * second, request);
+    };
+    const auto isRefused
+        = [&](const std::vector<uint64_t>& parts) { return table.containsCrashingPart(parts, start + 10 * second); };
+    for (int number : { 0, 1, 2 })
+        crash(number, 100, shared);
+    EXPECT_FALSE(isRefused(both)) << "one request may crash servers for a reason of its own";
+    crash(3, 101, shared);
+    EXPECT_TRUE(isRefused(both));
+    EXPECT_FALSE(isRefused({ partFingerprint(shared) })) << "either part may be the cause";
+    EXPECT_FALSE(isRefused({ partFingerprint(deadly) }));
+    crash(4, 102, other);
+    EXPECT_TRUE(isRefused({ partFingerprint(deadly) })) << "it alone is in all of them";
+    EXPECT_FALSE(isRefused({ partFingerprint(shared) }));
+    EXPECT_FALSE(isRefused({ partFingerprint(other) }));
+}
+
+TEST(CrashTable, APartThatWasAnsweredIsHarmlessHoweverManyServersCrashWithIt)
+{
+    crash_table table(instance_id("a"));
+    table.addAnswer(partFingerprint(7), start - 30 * second);
+    for (int number = 0; number < 6; ++number)
+        table.addCrash(partFingerprint(7), server(number), start + number * second, static_cast<uint64_t>(number + 1));
+    EXPECT_FALSE(table.containsCrashingPart({ partFingerprint(7) }, start + 10 * second));
+}
+
 } // namespace pollen
--- a/standins/tests/crashing_request_test.cpp
+++ b/standins/tests/crashing_request_test.cpp
@@ -12,6 +12,10 @@
 // By the platform's rules, every daemon has learnt of an event after this time.
 constexpr duration stableWindow = std::chrono::seconds(3);
 constexpr size_t endsThatCondemn = 3;
+// Ends under requests with one part until it has to be known.
+constexpr size_t endsThatCondemnAPart = 5;
+constexpr const char* promptPartsHeader = "Pollenroute-Prompt-Prefix";
+constexpr const char* deadlyPart = "dead:165";
 
 // How a server process ends when it begins to run the request that crashes it.
 enum class ending {
@@ -39,7 +43,8 @@
 private:
     void handle(const std::shared_ptr<server_request>& request)
     {
-        if (request->request().body != "crash") {
+        const std::string_view parts = findHeader(request->request().headers, promptPartsHeader);
+        if (request->request().body != "crash" && parts.find(deadlyPart) == std::string_view::npos) {
             request->reply(200, answerHeaders(*request), "done");
             return;
         }
@@ -94,6 +99,21 @@
         return status.value_or(0);
     }
 
+    // A generation of its own; parts: those before the last, which is unique.
+    int sendPrompt(const fleet_daemon& daemon, const std::string& parts, const char* target = "/s/x")
+    {
+        const std::string id = std::to_string(++m_sent);
+        const http_request message { "POST", target,
+            { { "Host", "h.example" }, { "Pollenroute-Request-Id", "id-" + id }, { "Pollenroute-Deadline-Ms", "4000" },
+                { "Pollenroute-Key", "key" }, { promptPartsHeader, parts + ",1" + id + ":20" } },
+            "prompt " + id };
+        std::optional<int> status;
+        m_caller.fetch(daemon.address(), message, {},
+            [&](const exchange_result&, const http_response& response) { status = response.status; });
+        EXPECT_TRUE(m_loop.runUntil([&] { return status.has_value(); }, patience));
+        return status.value_or(0);
+    }
+
     void wait(duration span)
     {
         m_loop.runUntil([] { return false; }, span);
@@ -183,6 +203,46 @@
     EXPECT_EQ(ends(), endsThatCondemn);
 }
 
+// Guards against BUDGET: requests that shared one deadly part ended three servers each, as crashes were counted by
+// request. Sound requests that share their other parts are served.
+TEST_F(CrashingRequestTest, APartUnderWhichServersEndIsHeldBackAndItsNeighboursAreNot)
+{
+    addServers("advice", ending::Reset, 20);
+    const std::vector<fleet_daemon*> daemons { &start("a1", "a"), &start("a2", "a"), &start("b1", "b") };
+    const std::vector<std::string> sound { "a1:200", "a2:200" };
+    for (const std::string& part : sound)
+        EXPECT_EQ(sendPrompt(*daemons[0], part), 200);
+    for (size_t i = 0; ends() < endsThatCondemnAPart && i < 8; ++i)
+        sendPrompt(*daemons[i % daemons.size()], sound[i % sound.size()] + "," + deadlyPart);
+    wait(stableWindow);
+    const size_t before = ends();
+    EXPECT_LE(before, endsThatCondemnAPart + 2) << "two requests with three attempts each";
+    for (size_t i = 0; i < 9; ++i) {
+        EXPECT_EQ(sendPrompt(*daemons[i % daemons.size()], sound[i % sound.size()] + "," + deadlyPart), 503) << i;
+        EXPECT_EQ(sendPrompt(*daemons[i % daemons.size()], sound[i % sound.size()]), 200) << i;
+    }
+    EXPECT_EQ(ends(), before);
+}
+
+// As above, with the store away: what one failure domain learns reaches the other all the same. The route needs no key,
+// as keys may not be trusted for so long.
+TEST_F(CrashingRequestTest, APartUnderWhichServersEndIsKnownToTheFleetWithoutTheStore)
+{
+    const char* open = "/open/x";
+    addServers("desk", ending::Reset, 20);
+    const std::vector<fleet_daemon*> daemons { &start("a1", "a"), &start("b1", "b") };
+    EXPECT_EQ(sendPrompt(*daemons[0], "a1:200", open), 200);
+    m_store.set("outage", 1);
+    wait(std::chrono::milliseconds(500));
+    for (size_t i = 0; ends() < endsThatCondemnAPart && i < 8; ++i)
+        sendPrompt(*daemons[0], std::string("a1:200,") + deadlyPart, open);
+    wait(stableWindow);
+    const size_t before = ends();
+    EXPECT_EQ(sendPrompt(*daemons[1], std::string("a1:200,") + deadlyPart, open), 503);
+    EXPECT_EQ(sendPrompt(*daemons[1], "a1:200", open), 200);
+    EXPECT_EQ(ends(), before);
+}
+
 // Guards against BUDGET, by chance instead of by plan: the request comes through any daemon of nine while daemons are
 // restarted, the store is away and its answers are lost, and servers that ended are replaced. POLLEN_SEEDS names the
 // first and the last seed, "1 1" where it is not set.
