Keep crashes whose refutation is older than an outage of the store

Cause: a crash is withdrawn when the server's entry still stands ten seconds later and the state is young. The configuration was confirmed again 3 s after the outage, the servers' entries lapse later: 226 crashes were withdrawn at 15 to 17.7 s, the entries went at 18.2 s. Class: absence of a change taken for a proof, over a time in which changes could not be seen.

Change: an entry refutes a crash only ten seconds after the state was last too old.

Evidence: CrashDetectorTest.ACrashIsNotWithdrawnOnEntriesFromBeforeAnOutageOfTheStore failed before and passes.

--- a/libs/relay/include/relay/crash_detector.h
+++ b/libs/relay/include/relay/crash_detector.h
@@ -4,6 +4,7 @@
 #include <fleet/fleet_system.h>
 #include <http/reachability_probe.h>
 #include <memory>
+#include <optional>
 #include <relay/crash_table.h>
 #include <relay/log_budget.h>
 #include <relay/relay_metrics.h>
@@ -82,6 +83,8 @@
     log_budget& m_budget;
     const clock& m_time;
     logger& m_log;
+    // When the fleet state was last found to be too old to refute a crash.
+    std::optional<time_point> m_stateOutdatedAt;
     std::vector<open_suspicion> m_suspicions;
     std::shared_ptr<bool> m_alive;
 };
--- a/libs/relay/src/crash_detector.cpp
+++ b/libs/relay/src/crash_detector.cpp
@@ -73,6 +73,8 @@
 
 void crash_detector::tick(time_point now)
 {
+    if (now - m_state.configurationConfirmedAt() > maximumStateAge)
+        m_stateOutdatedAt = now;
     for (open_suspicion& suspicion : m_suspicions)
         advance(suspicion, now);
     removeDone();
@@ -89,7 +91,8 @@
         suspicion.stage = suspicion_stage::Done;
         return;
     }
-    if (now < suspicion.entryExpiry || now - m_state.configurationConfirmedAt() > maximumStateAge)
+    // Entries do not expire during an outage of the store, so that one that is still listed proves nothing for a while.
+    if (now < suspicion.entryExpiry || (m_stateOutdatedAt && now < *m_stateOutdatedAt + entryExpiryTimeout))
         return;
     if (!silent)
         withdraw(suspicion);
--- a/libs/relay/tests/crash_detector_test.cpp
+++ b/libs/relay/tests/crash_detector_test.cpp
@@ -151,4 +151,19 @@
     EXPECT_FALSE(m_detector.mayNotRunAgain(crashingRequest, {})) << "another server has just answered the request";
 }
 
+// Guards against BUDGET: after an outage of the store, the entries of servers that had crashed before it were still listed
+// for some seconds, and all these crashes were withdrawn.
+TEST_F(CrashDetectorTest, ACrashIsNotWithdrawnOnEntriesFromBeforeAnOutageOfTheStore)
+{
+    suspect("i-1");
+    m_probe.answer(probe_result::Refused);
+    run(std::chrono::seconds(1));
+    run(std::chrono::seconds(8), true);
+    run(std::chrono::seconds(4));
+    EXPECT_EQ(crashes(), 1U) << "the store has just returned; the entry may not have expired yet";
+    list({ "i-2", "i-3" });
+    run(std::chrono::seconds(20));
+    EXPECT_EQ(crashes(), 1U);
+}
+
 } // namespace pollen
