Do not take a repeated refusal for the answer to the same request

What other operators saw: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told that requests had not run which a server had run or was running (REFUSED), or such a request ran twice (TWICE). It can happen here in two ways: a request that was refused is sent again on the same connection, where its id no longer tells the answers apart; and a refusal that names no request was taken for the answer whatever the connection had carried.

Change: a connection that has carried a request's id is not used for it again; a response without the id, where one is due, fails the exchange on a connection that has carried others, as one that may have run.

Evidence: ARequestIsNotSentAgainOnAConnectionThatHasCarriedIt and AResponseWithoutItsRequestIsNoAnswerOnAKeptConnection failed before and pass.

--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "header_text.h"
 #include "immediate_write.h"
+#include <algorithm>
 #include <base/socket_address.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -20,6 +21,8 @@
 // Limits for interim responses and late responses to other requests that precede the expected response.
 constexpr size_t maximumSkippedResponses = 16;
 constexpr size_t maximumSkippedBytes = 1U << 20;
+// Earlier requests that are remembered. A request is sent again within seconds.
+constexpr size_t maximumEarlierEchoValues = 64;
 
 // Idle time-out announced in the Keep-Alive header of the response, if any.
 std::optional<duration> keepAliveTimeout(const http_headers& headers)
@@ -87,9 +90,18 @@
         writeImmediately(m_bufferEvent);
 }
 
+bool client_connection::hasCarried(const std::string& echoValue) const
+{
+    return !echoValue.empty()
+        && std::find(m_earlierEchoValues.begin(), m_earlierEchoValues.end(), echoValue) != m_earlierEchoValues.end();
+}
+
 bool client_connection::release()
 {
     m_exchange = nullptr;
+    m_earlierEchoValues.push_back(m_echoValue);
+    if (m_earlierEchoValues.size() > maximumEarlierEchoValues)
+        m_earlierEchoValues.erase(m_earlierEchoValues.begin());
     const bool clean = !m_closed && m_reusable && evbuffer_get_length(bufferevent_get_input(m_bufferEvent)) == 0
         && evbuffer_get_length(bufferevent_get_output(m_bufferEvent)) == 0;
     if (!clean) {
@@ -215,6 +227,11 @@
         m_hasSkippedResponse = true;
         return;
     }
+    // A response that names no request may be a repeated one to an earlier request.
+    if (echo.empty() && !m_echoHeader.empty() && m_hasCarriedExchange) {
+        fail(exchange_failure::MalformedResponse, false);
+        return;
+    }
     m_keepAliveTimeout = pollen::keepAliveTimeout(headers);
     if (m_exchange)
         m_exchange->onHead(m_parser->status(), headers);
--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -30,6 +30,9 @@
     bool connectFailed() const { return m_connectFailed; }
     bool hasCarriedExchange() const { return m_hasCarriedExchange; }
     bool closed() const { return m_closed; }
+    // Whether an earlier exchange had this value of the echo header: a repeated response to it could not be told from
+    // the next one.
+    bool hasCarried(const std::string& echoValue) const;
     // Bytes of the current exchange that have been written to the socket.
     size_t bytesSent() const { return m_bytesSent; }
     // How long the server keeps the connection open while idle; empty when the server has not announced it.
@@ -64,6 +67,8 @@
     std::optional<duration> m_keepAliveTimeout;
     std::string m_echoHeader;
     std::string m_echoValue;
+    // Values of earlier exchanges, latest last.
+    std::vector<std::string> m_earlierEchoValues;
     size_t m_bytesSent = 0;
     bool m_noBody = false;
     bool m_connectFailed = false;
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -53,7 +53,8 @@
         return std::make_shared<client_connection>(loop, server);
     }
 
-    std::shared_ptr<client_connection> take(const endpoint& server, duration maximumIdleTime)
+    std::shared_ptr<client_connection> take(
+        const endpoint& server, duration maximumIdleTime, const std::string& echoValue)
     {
         const time_point now = clock.now();
         auto& idle = idleByEndpoint[server];
@@ -62,7 +63,8 @@
             idle.pop_back();
             if (candidate.handle->closed())
                 continue;
-            if (now < candidate.usableUntil && now - candidate.idleSince <= maximumIdleTime)
+            if (!candidate.handle->hasCarried(echoValue) && now < candidate.usableUntil
+                && now - candidate.idleSince <= maximumIdleTime)
                 return candidate.handle;
             candidate.handle->close();
         }
@@ -118,8 +120,8 @@
         , m_deadline(m_pool->loop, [this] { onTimer(); })
         , m_alive(std::make_shared<bool>(true))
     {
-        m_connection
-            = m_options.freshConnection ? m_pool->open(server) : m_pool->take(server, m_options.maximumIdleTime);
+        m_connection = m_options.freshConnection ? m_pool->open(server)
+                                                 : m_pool->take(server, m_options.maximumIdleTime, m_options.echoValue);
         send();
         m_deadline.startOnce(std::min(m_options.timeout, m_options.connectTimeout));
     }
--- a/libs/http/tests/hostile_message_test.cpp
+++ b/libs/http/tests/hostile_message_test.cpp
@@ -188,6 +188,32 @@
         << "a connection that received a response to another request must not be reused";
 }
 
+// Guards against REFUSED and TWICE: a server wrote its refusal of a request once more. The same request, sent again on
+// that connection, was then taken for refused while the server ran it.
+TEST_F(HostileMessageTest, ARequestIsNotSentAgainOnAConnectionThatHasCarriedIt)
+{
+    scripted_server server("HTTP/1.1 503 Full\r\nX-Id: mine\r\nContent-Length: 0\r\n\r\n", connection_end::KeepOpen);
+    exchange_options options;
+    options.echoHeader = "X-Id";
+    options.echoValue = "mine";
+    EXPECT_EQ(fetch(server, get, options).second.status, 503);
+    EXPECT_EQ(fetch(server, get, options).second.status, 503);
+    EXPECT_EQ(server.connections(), 2U);
+}
+
+// Guards against the same with a refusal that names no request: on a kept connection it may belong to an earlier one.
+TEST_F(HostileMessageTest, AResponseWithoutItsRequestIsNoAnswerOnAKeptConnection)
+{
+    scripted_server server("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", connection_end::KeepOpen);
+    exchange_options options;
+    options.echoHeader = "X-Id";
+    options.echoValue = "first";
+    EXPECT_EQ(fetch(server, get, options).first.failure, exchange_failure::None);
+    options.echoValue = "second";
+    EXPECT_EQ(fetch(server, get, options).first.failure, exchange_failure::MalformedResponse);
+    EXPECT_EQ(server.connections(), 1U);
+}
+
 TEST_F(HostileMessageTest, AnOversizedResponseFailsOnceEvenIfTheServerCloses)
 {
     exchange_options options;
