Do not pass on a server's bare 408, 429 or 503 as a promise

Cause found here by a test: a server that answers 408, 429 or 503 without stating that it has not run the request has promised nothing, but its status was passed on, and a caller sends the request again after it.

Change: such an answer ends the request with our own 502, or is repeated where the request may be.

Evidence: ARejectionThatDoesNotStateThatNothingRanPromisesNothing failed for all three statuses before and passes.

--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -41,11 +41,20 @@
 constexpr const char* rateLimitedReason = "rate_limited";
 
 constexpr int statusOk = 200;
+constexpr int statusRequestTimeout = 408;
+constexpr int statusTooManyRequests = 429;
 constexpr int firstServerErrorStatus = 500;
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
 constexpr int statusGatewayTimeout = 504;
 
+// Callers take these statuses as a promise that the request has not run. A server that means it says so in a header;
+// its bare status is not passed on.
+bool meansNotRun(int status)
+{
+    return status == statusRequestTimeout || status == statusTooManyRequests || status == statusUnavailable;
+}
+
 } // namespace
 
 relay_exchange::relay_exchange(relay_dependencies& dependencies, std::shared_ptr<server_request> request)
@@ -370,7 +379,8 @@
         m_firstByteTimer.stop(now);
     }
     const bool failed = status >= firstServerErrorStatus;
-    m_discard = notRun || m_streamStarted || (failed && m_admission.route->mayRepeat() && hasAttemptsLeft());
+    m_discard = notRun || m_streamStarted || meansNotRun(status)
+        || (failed && m_admission.route->mayRepeat() && hasAttemptsLeft());
     if (m_streamStarted && status == statusOk)
         m_discard = false;
     if (!m_discard && !m_streamStarted && tryEscalation())
