--- a/libs/relay/tests/crash_detector_test.cpp
+++ b/libs/relay/tests/crash_detector_test.cpp
@@ -151,8 +151,8 @@
     EXPECT_FALSE(m_detector.mayNotRunAgain(crashingRequest, {})) << "another server has just answered the request";
 }
 
-// Guards against BUDGET: after an outage of the store, the entries of servers that had crashed before it were still listed
-// for some seconds, and all these crashes were withdrawn.
+// Guards against BUDGET: after an outage of the store, the entries of servers that had crashed before it were still
+// listed for some seconds, and all these crashes were withdrawn.
 TEST_F(CrashDetectorTest, ACrashIsNotWithdrawnOnEntriesFromBeforeAnOutageOfTheStore)
 {
     suspect("i-1");
--- a/libs/relay/tests/crash_table_test.cpp
+++ b/libs/relay/tests/crash_table_test.cpp
@@ -287,8 +287,9 @@
 {
     crash_table table(instance_id("a"));
     table.addAnswer(partFingerprint(7), start - 30 * second);
+    uint64_t request = 0;
     for (int number = 0; number < 6; ++number)
-        table.addCrash(partFingerprint(7), server(number), start + number * second, static_cast<uint64_t>(number + 1));
+        table.addCrash(partFingerprint(7), server(number), start + number * second, ++request);
     EXPECT_FALSE(table.containsCrashingPart({ partFingerprint(7) }, start + 10 * second));
 }
 
