Do not wait for a leader that has lost the store

Cause: waits in a row. A leader that had lost the store knew it at once and went on answering its members. These noticed by the age of the state, asked further daemons that could not know better, each for up to one reply timeout, and ended at the store. Age limit, useless candidates and timeouts add up to the whole limit where each is harmless alone.

Change: a leader whose read fails or is overdue says so and queries others at once; its deputies then read the store; leaders compare their states, as a read that is lost without an error shows only after its wait; a late reply is hedged by a request to another daemon. Reports and work are only summed up for members of a group. The messages between daemons changed, so they have a prefix of their own: daemons of two releases do not answer each other and read the store.

DaemonsOfAFailureDomainShareCrashes... asserted that another failure domain does not learn of crashes that are not stored yet. It does now, with the comparisons, and earlier is better: the test asserts that it does.

--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -11,10 +11,15 @@
 // can read it themselves.
 constexpr duration peerAgeMargin = std::chrono::milliseconds(500);
 constexpr duration storeAgeMargin = std::chrono::milliseconds(1000);
+// How often leaders compare their states within the time in which a configuration must take effect. A change that one
+// of them has missed is then known everywhere within half of that time: a comparison, one that is lost, and the request
+// of a member.
+constexpr int comparisonsPerLimit = 5;
 // The platform's settings hold no secret that only daemons know; the tag of a frame only shows that it is whole.
 constexpr const char* peerSecret = "pollenroute";
-// Prefixes of the messages between daemons. Those of fleet_sync begin with a byte for the byte order, 0 or 1.
-constexpr const char* fleetSyncChannel = "";
+// Prefixes of the messages between daemons. The prefix changes with the format, so that daemons of two releases give each
+// other no answer and read the store instead.
+constexpr const char* fleetSyncChannel = "sync-2:";
 constexpr const char* permitChannel = "permit:";
 // Within the 32 MB that the users give a daemon for control; the smallest instance of today has 88 MB.
 constexpr size_t answerMemoryBytes = 16U << 20;
@@ -28,10 +33,10 @@
     return *settings.revocationLimit - revocationMargin;
 }
 
-fleet_sync::age_limits ageLimits(const node_settings& settings)
+fleet_sync::limits syncLimits(const node_settings& settings)
 {
     const duration wait = platform_store::configurationWait(settings);
-    return { wait + peerAgeMargin, wait + storeAgeMargin };
+    return { wait + peerAgeMargin, wait + storeAgeMargin, settings.configurationLimit / comparisonsPerLimit };
 }
 
 } // namespace
@@ -52,7 +57,7 @@
     , m_rateLimits(m_random)
     , m_exchange(loop, settings.peers, peerSecret, log)
     , m_channels(m_exchange)
-    , m_sharing({ settings.id, settings.failureDomain }, ageLimits(settings), m_store, m_state.servers(),
+    , m_sharing({ settings.id, settings.failureDomain }, syncLimits(settings), m_store, m_state.servers(),
           m_rolloutSystem, m_crashes, m_crashSharing, m_rateLimits, m_channels.open(fleetSyncChannel), time, log)
     , m_permits(
           { settings.id, settings.failureDomain }, m_store, m_rateLimits, m_channels.open(permitChannel), time, log)
--- a/libs/relay/include/relay/fleet_store.h
+++ b/libs/relay/include/relay/fleet_store.h
@@ -31,6 +31,9 @@
     // Starts or stops following the reports and states of roll-outs.
     virtual void followReports(bool wanted) = 0;
 
+    // False while reads of the configuration fail or are overdue. Only meaningful for a leader.
+    virtual bool isReachable() const = 0;
+
     // Starts or stops reading the store; a daemon that is not a leader syncs with other daemons instead.
     virtual void setLeader(bool isLeader) = 0;
 
--- a/libs/relay/include/relay/fleet_sync.h
+++ b/libs/relay/include/relay/fleet_sync.h
@@ -15,9 +15,17 @@
 
 // Keeps the fleet state up to date and elects the leaders, the daemons that read the store. In each failure domain a
 // daemon queries the first available daemon before it by id; a daemon with no available predecessor leads and reads the
-// store itself. A leader that cannot reach the store queries any other daemon. While the leaders cannot reach the
-// store, only a few daemons of each failure domain keep polling it: requests from hundreds of daemons at once would
-// cost more than they reveal.
+// store itself.
+//
+// No daemon relies on a single other one for longer than a reply timeout:
+// - The leaders compare their states, because a read of the store that is lost without an error shows only when its
+//   wait has ended.
+// - A leader that cannot read the store says so in its replies and queries other daemons at once. The next daemons of
+//   its failure domain, its deputies, then read the store themselves, and the others query these.
+// - When a reply is late, another daemon is queried as well.
+//
+// While no leader can read the store, only the leaders and their deputies keep polling it: requests from hundreds of
+// daemons at once would cost more than they reveal.
 class fleet_sync final : public fleet_system {
 public:
     struct identity {
@@ -25,15 +33,17 @@
         failure_domain_name failureDomain;
     };
 
-    // A fleet state older than these limits shows that its holder has lost its source.
-    struct age_limits {
+    struct limits {
+        // A fleet state older than these limits shows that its holder has lost its source.
         duration maximumPeerAge { 0 };
         duration maximumOwnAge { 0 };
+        // Interval at which a leader that reads the store compares its state with that of another leader.
+        duration comparisonInterval { 0 };
     };
 
     // servers: receives the pending work of other daemons. crashTable: receives their crash reports. rateLimits:
     // receives the rate limits that they know.
-    fleet_sync(identity self, age_limits limits, fleet_store& store, server_table& servers, rollout_system& rollouts,
+    fleet_sync(identity self, const limits& limits, fleet_store& store, server_table& servers, rollout_system& rollouts,
         crash_table& crashTable, crash_publisher& crashes, server_rate_limits& rateLimits, state_exchange& exchange,
         const clock& time, logger& log);
 
@@ -43,8 +53,41 @@
     const instance_id& upstream() const { return m_upstream; }
 
 private:
-    std::optional<listed_peer> choosePeer(time_point now);
+    // Pending work reported by a member of the group.
+    struct member_work {
+        std::vector<server_work> work;
+        time_point received;
+    };
+
+    struct penalty {
+        time_point until;
+        uint32_t failures = 0;
+    };
+
+    struct pending_request {
+        uint64_t number = 0;
+        listed_peer peer;
+        time_point sentAt;
+        // See fleet_sync_request::isMember.
+        bool isMember = false;
+    };
+
+    std::optional<listed_peer> choosePeer(time_point now) const;
+    std::optional<listed_peer> choosePredecessor(time_point now) const;
+    std::optional<listed_peer> chooseOtherLeader(time_point now) const;
+    std::optional<listed_peer> chooseSubstitute(time_point now) const;
+    // The predecessor or substitute that is queried beside one whose reply is late.
+    std::optional<listed_peer> chooseHedge(time_point now) const;
+    // The element after the one that was queried last.
+    std::optional<listed_peer> rotate(const std::vector<const listed_peer*>& peers) const;
     bool isAvailable(const instance_id& peer, time_point now) const;
+    bool isPending(const instance_id& peer) const;
+    // The peer has reported that it cannot read the store.
+    bool hasLostStore(const instance_id& peer, time_point now) const;
+    // Whether this daemon, or the one that it queries, cannot read the store.
+    bool hasLostStore(time_point now) const;
+    // This leader's state may be outdated although it leads.
+    bool needsSubstitute(time_point now) const;
     // Number of daemons of the failure domain with a lower id.
     size_t precedingDaemons() const;
     bool isBackingOff(time_point now) const;
@@ -52,9 +95,13 @@
     bool isStarting(time_point now) const;
     bool shouldLead(time_point now) const;
     void updateLeadership(time_point now);
-    void sendRequest(const listed_peer& peer, time_point now);
-    void onReply(const instance_id& peer, const std::optional<std::string>& bytes, time_point requestedAt);
-    void recordFailure(const instance_id& peer, const char* reason, time_point now);
+    void noticeStoreLoss(time_point now);
+    void sendRequest(const listed_peer& peer, bool isMember, time_point now);
+    void dropSilentRequests(time_point now);
+    void onReply(uint64_t number, const std::optional<std::string>& bytes);
+    void applyReply(const pending_request& request, const fleet_sync_reply& reply, time_point now);
+    void scheduleRequest(const pending_request& request, const fleet_sync_reply& reply, time_point now);
+    void recordFailure(const pending_request& request, const char* reason, time_point now);
     void setUpstream(const instance_id& peer);
     std::string handleRequest(const std::string& bytes);
     duration stateAge(time_point now) const;
@@ -63,19 +110,8 @@
     std::vector<server_work> workExcluding(const instance_id& daemon, time_point now) const;
     void applyPeerWork(const std::vector<server_work>& work);
 
-    // Pending work reported by a member of the group.
-    struct member_work {
-        std::vector<server_work> work;
-        time_point received;
-    };
-
-    struct penalty {
-        time_point until;
-        uint32_t failures = 0;
-    };
-
     identity m_self;
-    age_limits m_limits;
+    limits m_limits;
     fleet_store& m_store;
     server_table& m_servers;
     rollout_system& m_rollouts;
@@ -87,15 +123,18 @@
     logger& m_log;
     instance_id m_upstream;
     std::map<instance_id, penalty> m_penalties;
+    // Daemons that cannot read the store, and when they last said so.
+    std::map<instance_id, time_point> m_storeLosses;
     std::map<instance_id, member_work> m_members;
     time_point m_nextWorkUpdate {};
-    // The request in progress.
     uint64_t m_requestNumber = 0;
-    std::optional<listed_peer> m_requestedPeer;
-    time_point m_requestedAt {};
+    // The request in progress and, if its reply is late, one to another daemon.
+    std::vector<pending_request> m_pending;
     time_point m_nextRequest {};
-    size_t m_rotation = 0;
+    time_point m_nextComparison {};
+    instance_id m_lastQueried;
     bool m_isLeader = false;
+    bool m_couldReadStore = true;
     std::optional<time_point> m_startedAt;
     // Last reply with an incomplete or too old fleet state.
     std::optional<time_point> m_staleReplyAt;
--- a/libs/relay/include/relay/fleet_sync_message.h
+++ b/libs/relay/include/relay/fleet_sync_message.h
@@ -29,9 +29,12 @@
     std::vector<uint64_t> positions;
     // The requesting daemon.
     instance_id sender;
-    // The sender's own observations of the running roll-outs.
+    // Whether the sender belongs to the receiver's group, which sums up the observations and the work of its members. A
+    // sender that only compares its state with the receiver's belongs to another group.
+    bool isMember = false;
+    // The sender's own observations of the running roll-outs; only of a member.
     std::vector<rollout_report> reports;
-    // The sender's own pending work.
+    // The sender's own pending work; only of a member.
     std::vector<server_work> work;
     // The sender's reports of requests that crashed servers, as far as the store does not hold them yet.
     std::vector<crash_report> crashes;
@@ -42,11 +45,14 @@
 };
 
 struct fleet_sync_reply {
+    // The sender of the reply, or the daemon that it queries, cannot read the store at the moment. Its state may still
+    // be up to date, as it queries others; its age tells.
+    bool hasLostStore = false;
     // Changes of each topic; empty while the daemon has no fleet state.
     std::vector<topic_change> changes;
-    // Combined observations of all daemons of the running roll-outs.
+    // Combined observations of all daemons of the running roll-outs; only for a member.
     std::vector<rollout_report> totals;
-    // Pending work of the other daemons of the group.
+    // Pending work of the other daemons of the group; only for a member.
     std::vector<server_work> work;
     // Reports of the group on requests that crashed servers, as far as the store does not hold them yet.
     std::vector<crash_report> crashes;
--- a/libs/relay/src/fleet_sync.cpp
+++ b/libs/relay/src/fleet_sync.cpp
@@ -8,14 +8,20 @@
 constexpr duration requestInterval = std::chrono::milliseconds(250);
 // Within a failure domain replies take a few milliseconds.
 constexpr duration replyTimeout = std::chrono::milliseconds(250);
+// A reply that takes longer than this is late, and another daemon is queried as well.
+constexpr duration hedgeDelay = std::chrono::milliseconds(100);
 constexpr duration initialPenalty = std::chrono::seconds(2);
 constexpr uint32_t maximumDoublings = 4;
 // Pending work of a member that has not sent a request within this time is no longer counted.
 constexpr duration workLifetime = std::chrono::seconds(1);
-// Preceding daemons that are tried before this one leads and reads the store itself.
-constexpr size_t maximumCandidates = 2;
-// Daemons of each failure domain that may read the store while others report that it does not answer.
-constexpr size_t outageLeaders = 3;
+// Daemons of each failure domain, the leader and its deputies, that may read the store while it does not answer the
+// leader. The others query these.
+constexpr size_t storeReaders = 3;
+// Requests that may follow each other without a pause because the daemons before were of no use.
+constexpr size_t maximumImmediateRequests = 2;
+// How long a daemon that has reported the loss of the store is not preferred, and how long a second report is not news.
+constexpr duration storeLossLifetime = std::chrono::seconds(2);
+constexpr duration storeLossNewsInterval = std::chrono::seconds(10);
 // A reply with an old fleet state counts as a sign that the store is unreachable for this long. Its sender may be
 // queried again sooner.
 constexpr duration staleReplyLifetime = std::chrono::seconds(2);
@@ -32,7 +38,7 @@
 
 } // namespace
 
-fleet_sync::fleet_sync(identity self, age_limits limits, fleet_store& store, server_table& servers,
+fleet_sync::fleet_sync(identity self, const limits& limits, fleet_store& store, server_table& servers,
     rollout_system& rollouts, crash_table& crashTable, crash_publisher& crashes, server_rate_limits& rateLimits,
     state_exchange& exchange, const clock& time, logger& log)
     : m_self(std::move(self))
@@ -60,45 +66,129 @@
         applyPeerWork(workExcluding(m_self.id, now));
     }
     updateLeadership(now);
-    if (m_requestedPeer && now - m_requestedAt > replyTimeout)
-        recordFailure(m_requestedPeer->id, "silent", now);
-    if (m_requestedPeer || now < m_nextRequest)
+    noticeStoreLoss(now);
+    dropSilentRequests(now);
+    if (m_pending.size() == 1 && now - m_pending.front().sentAt >= hedgeDelay) {
+        if (const auto hedge = chooseHedge(now))
+            sendRequest(*hedge, false, now);
+    }
+    if (!m_pending.empty() || now < m_nextRequest)
         return;
     const auto peer = choosePeer(now);
     if (!peer) {
         setUpstream({});
         m_nextRequest = now + (isStarting(now) ? startRetryInterval : requestInterval);
+        if (m_isLeader)
+            m_nextRequest = std::min(m_nextRequest, std::max(now, m_nextComparison));
         return;
     }
-    sendRequest(*peer, now);
+    m_nextComparison = now + m_limits.comparisonInterval;
+    const bool isComparison = m_isLeader && !needsSubstitute(now) && !choosePredecessor(now);
+    sendRequest(*peer, !isComparison, now);
 }
 
-// The first available daemon of the failure domain before this one; any other while the store cannot be read.
-std::optional<listed_peer> fleet_sync::choosePeer(time_point now)
+void fleet_sync::noticeStoreLoss(time_point now)
 {
-    const std::vector<listed_peer> daemons = m_store.daemons();
+    const bool canRead = !m_isLeader || m_store.isReachable();
+    if (std::exchange(m_couldReadStore, canRead) && !canRead)
+        m_nextRequest = now;
+}
+
+// A leader queries others when its own state may be outdated, and otherwise to compare states from time to time.
+std::optional<listed_peer> fleet_sync::choosePeer(time_point now) const
+{
+    if (auto predecessor = choosePredecessor(now))
+        return predecessor;
+    if (needsSubstitute(now))
+        return chooseSubstitute(now);
+    return m_isLeader && now >= m_nextComparison ? chooseOtherLeader(now) : std::nullopt;
+}
+
+// The first available daemon of the failure domain before this one. A deputy reads the store itself instead of querying
+// a leader that cannot read it.
+std::optional<listed_peer> fleet_sync::choosePredecessor(time_point now) const
+{
+    std::optional<listed_peer> withoutStore;
     size_t candidates = 0;
-    for (const listed_peer& daemon : daemons) {
+    size_t preceding = 0;
+    for (const listed_peer& daemon : m_store.daemons()) {
         if (daemon.failureDomain != m_self.failureDomain || !(daemon.id < m_self.id))
             continue;
-        if (isAvailable(daemon.id, now))
+        ++preceding;
+        if (candidates == storeReaders)
+            continue;
+        ++candidates;
+        if (!isAvailable(daemon.id, now) || isPending(daemon.id))
+            continue;
+        if (!hasLostStore(daemon.id, now))
             return daemon;
-        if (++candidates == maximumCandidates)
-            break;
+        if (!withoutStore)
+            withoutStore = daemon;
     }
-    if ((stateAge(now) < m_limits.maximumOwnAge && !isBackingOff(now)) || daemons.empty())
-        return std::nullopt;
-    // Daemons that may read the store during an outage come first.
+    return preceding >= storeReaders ? withoutStore : std::nullopt;
+}
+
+bool fleet_sync::needsSubstitute(time_point now) const
+{
+    return (m_isLeader && !m_store.isReachable()) || stateAge(now) >= m_limits.maximumOwnAge || isBackingOff(now);
+}
+
+// The first available daemon of each other failure domain probably leads it.
+std::optional<listed_peer> fleet_sync::chooseOtherLeader(time_point now) const
+{
+    const std::vector<listed_peer> daemons = m_store.daemons();
+    std::set<failure_domain_name> domains { m_self.failureDomain };
+    std::vector<const listed_peer*> leaders;
+    for (const listed_peer& daemon : daemons) {
+        if (!isAvailable(daemon.id, now) || isPending(daemon.id) || hasLostStore(daemon.id, now))
+            continue;
+        if (domains.insert(daemon.failureDomain).second)
+            leaders.push_back(&daemon);
+    }
+    return rotate(leaders);
+}
+
+// Any daemon may have what this one lacks; those that can read the store come first, then those that may read it during
+// an outage.
+std::optional<listed_peer> fleet_sync::chooseSubstitute(time_point now) const
+{
+    const std::vector<listed_peer> daemons = m_store.daemons();
     std::map<failure_domain_name, size_t> ranks;
-    std::vector<const listed_peer*> preferredPeers;
+    std::vector<const listed_peer*> readers;
+    std::vector<const listed_peer*> readersWithoutStore;
     std::vector<const listed_peer*> otherPeers;
     for (const listed_peer& daemon : daemons) {
-        const bool isOutageLeader = ranks[daemon.failureDomain]++ < outageLeaders;
-        if (daemon.id != m_self.id && isAvailable(daemon.id, now))
-            (isOutageLeader ? preferredPeers : otherPeers).push_back(&daemon);
+        const bool isReader = ranks[daemon.failureDomain]++ < storeReaders;
+        if (daemon.id == m_self.id || !isAvailable(daemon.id, now) || isPending(daemon.id))
+            continue;
+        if (!isReader)
+            otherPeers.push_back(&daemon);
+        else if (hasLostStore(daemon.id, now))
+            readersWithoutStore.push_back(&daemon);
+        else
+            readers.push_back(&daemon);
     }
-    const auto& best = preferredPeers.empty() ? otherPeers : preferredPeers;
-    return best.empty() ? std::nullopt : std::optional(*best[++m_rotation % best.size()]);
+    for (const auto& group : { readers, readersWithoutStore }) {
+        if (!group.empty())
+            return rotate(group);
+    }
+    return rotate(otherPeers);
+}
+
+std::optional<listed_peer> fleet_sync::chooseHedge(time_point now) const
+{
+    if (auto predecessor = choosePredecessor(now))
+        return predecessor;
+    return chooseSubstitute(now);
+}
+
+std::optional<listed_peer> fleet_sync::rotate(const std::vector<const listed_peer*>& peers) const
+{
+    if (peers.empty())
+        return std::nullopt;
+    const auto next
+        = std::find_if(peers.begin(), peers.end(), [&](const listed_peer* peer) { return m_lastQueried < peer->id; });
+    return next == peers.end() ? *peers.front() : **next;
 }
 
 size_t fleet_sync::precedingDaemons() const
@@ -113,7 +203,7 @@
 // it; the rest query these, and poll the store from time to time.
 bool fleet_sync::isBackingOff(time_point now) const
 {
-    return m_staleReplyAt && now - *m_staleReplyAt < staleReplyLifetime && precedingDaemons() >= outageLeaders;
+    return m_staleReplyAt && now - *m_staleReplyAt < staleReplyLifetime && precedingDaemons() >= storeReaders;
 }
 
 bool fleet_sync::isStarting(time_point now) const
@@ -128,7 +218,9 @@
         return false;
     const bool hasFallback = m_fallbackSyncAt && now - *m_fallbackSyncAt < fallbackSyncLifetime;
     const bool waitsForDaemons = isStarting(now) && !m_store.daemonsKnown();
-    if (waitsForDaemons || ((hasFallback || isStarting(now)) && precedingDaemons() > 0))
+    if (waitsForDaemons || (isStarting(now) && precedingDaemons() > 0))
+        return false;
+    if (hasFallback && precedingDaemons() >= storeReaders)
         return false;
     if (!isBackingOff(now))
         return true;
@@ -156,6 +248,23 @@
     return found == m_penalties.end() || now >= found->second.until;
 }
 
+bool fleet_sync::isPending(const instance_id& peer) const
+{
+    return std::any_of(
+        m_pending.begin(), m_pending.end(), [&](const pending_request& request) { return request.peer.id == peer; });
+}
+
+bool fleet_sync::hasLostStore(const instance_id& peer, time_point now) const
+{
+    const auto found = m_storeLosses.find(peer);
+    return found != m_storeLosses.end() && now - found->second < storeLossLifetime;
+}
+
+bool fleet_sync::hasLostStore(time_point now) const
+{
+    return m_upstream.empty() ? m_isLeader && !m_store.isReachable() : hasLostStore(m_upstream, now);
+}
+
 duration fleet_sync::stateAge(time_point now) const
 {
     duration age { 0 };
@@ -166,84 +275,128 @@
     return age;
 }
 
-void fleet_sync::sendRequest(const listed_peer& peer, time_point now)
+void fleet_sync::sendRequest(const listed_peer& peer, bool isMember, time_point now)
 {
     fleet_sync_request request;
     for (const shared_topic* topic : m_store.topics())
         request.positions.push_back(topic->position());
     request.sender = m_self.id;
-    request.reports = m_rollouts.groupReports(now);
-    request.work = ownWork();
+    request.isMember = isMember;
+    if (isMember) {
+        request.reports = m_rollouts.groupReports(now);
+        request.work = ownWork();
+    }
     // A leader speaks for its group: while the store is away, other groups learn from it directly.
     request.crashes = m_isLeader ? m_crashTable.unstored() : m_crashTable.ownUnstored();
     request.rateLimits = m_rateLimits.notices(now);
-    m_requestedPeer = peer;
-    m_requestedAt = now;
-    const uint64_t requestNumber = ++m_requestNumber;
+    m_lastQueried = peer.id;
+    const uint64_t number = ++m_requestNumber;
+    m_pending.push_back({ number, peer, now, isMember });
     m_exchange.fetch(peer.address, encodeFleetSyncRequest(request),
-        [this, requestNumber, id = peer.id, now, alive = std::weak_ptr<bool>(m_aliveToken)](
-            const std::optional<std::string>& bytes) {
-            if (!alive.expired() && requestNumber == m_requestNumber && m_requestedPeer)
-                onReply(id, bytes, now);
+        [this, number, alive = std::weak_ptr<bool>(m_aliveToken)](const std::optional<std::string>& bytes) {
+            if (!alive.expired())
+                onReply(number, bytes);
         });
 }
 
-void fleet_sync::onReply(const instance_id& peer, const std::optional<std::string>& bytes, time_point requestedAt)
+void fleet_sync::dropSilentRequests(time_point now)
+{
+    for (const pending_request& request : std::vector(m_pending)) {
+        if (now - request.sentAt > replyTimeout)
+            recordFailure(request, "silent", now);
+    }
+}
+
+void fleet_sync::onReply(uint64_t number, const std::optional<std::string>& bytes)
 {
+    const auto found = std::find_if(
+        m_pending.begin(), m_pending.end(), [&](const pending_request& item) { return item.number == number; });
+    if (found == m_pending.end())
+        return;
+    const pending_request request = *found;
     const time_point now = m_time.now();
     if (!bytes) {
-        recordFailure(peer, "no answer", now);
+        recordFailure(request, "no answer", now);
         if (isStarting(now))
-            m_penalties[peer] = { now + startRetryInterval, 0 };
+            m_penalties[request.peer.id] = { now + startRetryInterval, 0 };
         return;
     }
-    fleet_sync_reply reply;
     try {
-        reply = decodeFleetSyncReply(*bytes);
+        applyReply(request, decodeFleetSyncReply(*bytes), now);
     } catch (const fleet_sync_error& problem) {
-        m_log.write(log_level::Warning, "view_unreadable", { { "peer", peer.text() }, { "problem", problem.what() } });
-        recordFailure(peer, "unreadable", now);
-        return;
+        m_log.write(log_level::Warning, "view_unreadable",
+            { { "peer", request.peer.id.text() }, { "problem", problem.what() } });
+        recordFailure(request, "unreadable", now);
     }
+}
+
+void fleet_sync::applyReply(const pending_request& request, const fleet_sync_reply& reply, time_point now)
+{
     // Crashes do not become wrong with the age of the rest.
     for (const crash_report& report : reply.crashes)
         m_crashTable.merge(report, false);
     const std::vector<shared_topic*> topics = m_store.topics();
     if (reply.changes.size() != topics.size() || reply.changes.front().age > m_limits.maximumPeerAge) {
         m_staleReplyAt = now;
-        recordFailure(peer, "view too old", now);
-        m_penalties[peer] = { now + staleReplyPenalty, 0 };
+        recordFailure(request, "view too old", now);
+        m_penalties[request.peer.id] = { now + staleReplyPenalty, 0 };
         return;
     }
     for (size_t i = 0; i < topics.size(); ++i)
-        topics[i]->apply(reply.changes[i], requestedAt);
-    for (const rollout_report& total : reply.totals)
-        m_rollouts.receiveTotalReport(total, now);
-    applyPeerWork(reply.work);
+        topics[i]->apply(reply.changes[i], request.sentAt);
     for (const rate_limit_notice& notice : reply.rateLimits)
-        m_rateLimits.merge(notice, requestedAt);
-    m_penalties.erase(peer);
+        m_rateLimits.merge(notice, request.sentAt);
+    if (request.isMember) {
+        for (const rollout_report& total : reply.totals)
+            m_rollouts.receiveTotalReport(total, now);
+        applyPeerWork(reply.work);
+    }
+    std::erase_if(m_pending, [&](const pending_request& item) { return item.number == request.number; });
+    m_penalties.erase(request.peer.id);
     m_consecutiveFailures = 0;
-    m_requestedPeer.reset();
-    m_nextRequest = requestedAt + requestInterval;
+    scheduleRequest(request, reply, now);
+    if (!request.isMember)
+        return;
     // A daemon that was queried only because the store is unreachable does not become the upstream.
-    const auto preferred = choosePeer(now);
-    const bool isUpstream = preferred && preferred->id == peer && preferred->id < m_self.id;
+    const auto preferred = choosePredecessor(now);
+    const bool isUpstream = preferred && preferred->id == request.peer.id;
     if (!isUpstream)
         m_fallbackSyncAt = now;
-    setUpstream(isUpstream ? peer : instance_id());
+    setUpstream(isUpstream ? request.peer.id : instance_id());
 }
 
-void fleet_sync::recordFailure(const instance_id& peer, const char* reason, time_point now)
+// Queries another daemon at once when this one turns out to have lost the store.
+void fleet_sync::scheduleRequest(const pending_request& request, const fleet_sync_reply& reply, time_point now)
 {
-    penalty& entry = m_penalties[peer];
+    m_nextRequest = request.sentAt + requestInterval;
+    if (!reply.hasLostStore) {
+        m_storeLosses.erase(request.peer.id);
+        return;
+    }
+    time_point& reportedAt = m_storeLosses[request.peer.id];
+    const bool isNews = reportedAt == time_point {} || now - reportedAt >= storeLossNewsInterval;
+    reportedAt = now;
+    if (isNews) {
+        m_log.write(log_level::Info, "view_peer_without_store", { { "peer", request.peer.id.text() } });
+        m_nextRequest = now;
+        m_nextComparison = now;
+        return;
+    }
+    // Nothing newer can be expected soon while all daemons that may read the store have lost it.
+    if (!m_isLeader)
+        m_nextRequest = request.sentAt + requestInterval * 2;
+}
+
+void fleet_sync::recordFailure(const pending_request& request, const char* reason, time_point now)
+{
+    std::erase_if(m_pending, [&](const pending_request& item) { return item.number == request.number; });
+    penalty& entry = m_penalties[request.peer.id];
     entry.until = now + initialPenalty * (1 << std::min(entry.failures, maximumDoublings));
     ++entry.failures;
-    m_requestedPeer.reset();
     // The candidates of the failure domain are tried without a pause; the whole fleet, during an outage of the store,
     // is not.
-    m_nextRequest = ++m_consecutiveFailures <= maximumCandidates ? now : now + requestInterval;
-    m_log.write(log_level::Info, "view_peer_failed", { { "peer", peer.text() }, { "reason", reason } });
+    m_nextRequest = ++m_consecutiveFailures <= maximumImmediateRequests ? now : now + requestInterval;
+    m_log.write(log_level::Info, "view_peer_failed", { { "peer", request.peer.id.text() }, { "reason", reason } });
 }
 
 void fleet_sync::setUpstream(const instance_id& peer)
@@ -303,6 +456,7 @@
         if (request.positions.size() != topics.size())
             return {};
         fleet_sync_reply reply;
+        reply.hasLostStore = hasLostStore(now);
         for (size_t i = 0; i < topics.size(); ++i) {
             const auto change = topics[i]->changeSince(request.positions[i], now);
             if (!change)
@@ -315,9 +469,11 @@
             m_crashTable.merge(report, false);
         for (const rate_limit_notice& notice : request.rateLimits)
             m_rateLimits.merge(notice, now);
-        m_members[request.sender] = { request.work, now };
-        reply.totals = m_rollouts.totalReports(now);
-        reply.work = workExcluding(request.sender, now);
+        if (request.isMember) {
+            m_members[request.sender] = { request.work, now };
+            reply.totals = m_rollouts.totalReports(now);
+            reply.work = workExcluding(request.sender, now);
+        }
         reply.crashes = m_crashTable.unstored();
         reply.rateLimits = m_rateLimits.notices(now);
         return encodeFleetSyncReply(reply);
--- a/libs/relay/src/fleet_sync_message.cpp
+++ b/libs/relay/src/fleet_sync_message.cpp
@@ -60,12 +60,12 @@
 
 template <typename Archive> void serialize(Archive& archive, fleet_sync_request& request)
 {
-    archive(request.positions, request.sender, request.reports, request.work, request.crashes, request.rateLimits);
+    archive(request.positions, request.sender, request.isMember, request.reports, request.work, request.crashes, request.rateLimits);
 }
 
 template <typename Archive> void serialize(Archive& archive, fleet_sync_reply& reply)
 {
-    archive(reply.changes, reply.totals, reply.work, reply.crashes, reply.rateLimits);
+    archive(reply.hasLostStore, reply.changes, reply.totals, reply.work, reply.crashes, reply.rateLimits);
 }
 
 std::string encodeFleetSyncRequest(const fleet_sync_request& request) { return encodeMessage(request); }
--- a/libs/relay/tests/fake_fleet_store.h
+++ b/libs/relay/tests/fake_fleet_store.h
@@ -25,6 +25,7 @@
     }
     void followReports(bool wanted) override { following = wanted; }
     void setLeader(bool leader) override { isLeader = leader; }
+    bool isReachable() const override { return reachable; }
     std::vector<shared_topic*> topics() override { return shared; }
     std::vector<listed_peer> daemons() const override { return listed; }
     size_t daemonCount() const override { return listed.size(); }
@@ -41,6 +42,7 @@
     bool stores = true;
     bool following = false;
     bool isLeader = false;
+    bool reachable = true;
 };
 
 } // namespace pollen
--- a/libs/relay/tests/fleet_sync_test.cpp
+++ b/libs/relay/tests/fleet_sync_test.cpp
@@ -1,74 +1,18 @@
-#include "fake_fleet_store.h"
-#include "fake_network.h"
+#include "sync_daemon.h"
 
 #include <gtest/gtest.h>
-#include <relay/fleet_sync.h>
 #include <relay/fleet_sync_message.h>
 
 namespace pollen {
 
 namespace {
 
+const fleet_sync::limits limits { std::chrono::milliseconds(1300), std::chrono::milliseconds(1800),
+    std::chrono::milliseconds(400) };
 const time_point start { std::chrono::seconds(1000) };
 
-class recording_listener final : public topic_listener {
-public:
-    bool onKey(const std::string& key, const std::optional<std::string>& value) override
-    {
-        if (value && values.contains(key) && values[key] == *value)
-            return false;
-        if (value)
-            values[key] = *value;
-        else
-            values.erase(key);
-        ++changes;
-        return true;
-    }
-    void onSynced(time_point) override { }
-
-    std::map<std::string, std::string> values;
-    int changes = 0;
-};
-
 using contents = std::map<std::string, std::string>;
 
-// A store with one topic.
-class single_topic_store final : public fake_fleet_store {
-public:
-    single_topic_store() { shared = { &topic }; }
-
-    recording_listener listener;
-    shared_topic topic { listener };
-};
-
-struct test_daemon {
-    test_daemon(fake_network& network, const clock& time, const std::string& id, const char* domain, uint16_t port)
-        : listed { instance_id(id), failure_domain_name(domain), { "127.0.0.1", port } }
-        , rollouts(table, store, listed.id, 1, { 0.15, 30 }, log)
-        , crashTable(listed.id)
-        , crashes(crashTable, store, time, log)
-        , exchange(network, listed.address)
-        , sharing({ listed.id, listed.failureDomain },
-              { std::chrono::milliseconds(1300), std::chrono::milliseconds(1800) }, store, servers, rollouts,
-              crashTable, crashes, rateLimits, exchange, time, log)
-    {
-    }
-
-    null_logger log;
-    listed_peer listed;
-    single_topic_store store;
-    rollout_table table;
-    server_table servers;
-    rollout_system rollouts;
-    crash_table crashTable;
-    crash_publisher crashes;
-    random_source random { 1 };
-    server_rate_limits rateLimits { random };
-    fake_exchange exchange;
-    fleet_sync sharing;
-    bool storeReachable = true;
-};
-
 class FleetSyncTest : public testing::Test {
 protected:
     FleetSyncTest()
@@ -82,7 +26,7 @@
     {
         for (const std::string& id : ids) {
             const auto port = static_cast<uint16_t>(m_daemons.size() + 1);
-            m_daemons[id] = std::make_unique<test_daemon>(m_network, m_time, id, id.substr(0, 1).c_str(), port);
+            m_daemons[id] = std::make_unique<sync_daemon>(m_network, m_time, id, id.substr(0, 1).c_str(), port, limits);
         }
         for (const auto& [id, daemon] : m_daemons) {
             daemon->store.listed.clear();
@@ -112,7 +56,7 @@
         m_written.push_back({ key, std::move(value), m_written.size() });
     }
 
-    test_daemon& at(const char* id) { return *m_daemons[id]; }
+    sync_daemon& at(const char* id) { return *m_daemons[id]; }
     duration age(const char* id) { return m_time.now() - at(id).store.topic.asOf(); }
     std::set<std::string> leaders()
     {
@@ -127,7 +71,7 @@
     static constexpr duration step = std::chrono::milliseconds(50);
     manual_clock m_time;
     fake_network m_network;
-    std::map<std::string, std::unique_ptr<test_daemon>> m_daemons;
+    std::map<std::string, std::unique_ptr<sync_daemon>> m_daemons;
     std::vector<topic_record> m_written;
 };
 
@@ -195,15 +139,14 @@
 {
     const rollout_report report { instance_id("d"), 7, service_name("s"), version_name("v"), std::chrono::seconds(3),
         rollout_evidence({ { "r", { 1, 2, 3, 4, 5, 6 }, { 7, 8, 9, 10, 11, 12 } } }), 9, true, true };
-    const fleet_sync_request request { { 1, 2 }, instance_id("d"), { report }, { { instance_id("e"), 3, 17000 } },
+    const fleet_sync_request request { { 1, 2 }, instance_id("d"), true, { report }, { { instance_id("e"), 3, 17000 } },
         { { { 5, instance_id("d") }, 2, { { instance_id("e"), 1796354559998 } }, 1796354559000 } },
         { { instance_id("e"), 11, 1.1, std::chrono::milliseconds(40) },
             { instance_id("f"), 12, std::nullopt, duration(0) } } };
     EXPECT_EQ(decodeFleetSyncRequest(encodeFleetSyncRequest(request)), request);
-    const fleet_sync_reply reply {
+    const fleet_sync_reply reply { true,
         { { true, 9, std::chrono::seconds(2), { { "k", "v", 3 }, { "d", std::nullopt, 4 } } } }, request.reports,
-        request.work, request.crashes, request.rateLimits
-    };
+        request.work, request.crashes, request.rateLimits };
     const std::string bytes = encodeFleetSyncReply(reply);
     EXPECT_EQ(decodeFleetSyncReply(bytes), reply);
     for (size_t length = 0; length + 1 < bytes.size(); ++length)
@@ -271,7 +214,7 @@
 }
 
 // The store is unreachable while servers crash under a request that is sent through each daemon in turn.
-TEST_F(FleetSyncTest, DaemonsOfAFailureDomainShareCrashesDuringAStoreOutage)
+TEST_F(FleetSyncTest, DaemonsShareCrashesDuringAStoreOutage)
 {
     run(std::chrono::seconds(1));
     for (const auto& [id, daemon] : m_daemons)
@@ -284,7 +227,10 @@
     run(std::chrono::milliseconds(600));
     for (const char* id : { "a1", "a2", "a3" })
         EXPECT_TRUE(at(id).crashTable.isQuarantined(crashingRequest, m_time.wallMilliseconds())) << id;
-    EXPECT_FALSE(at("b1").crashTable.isQuarantined(crashingRequest, m_time.wallMilliseconds()));
+    // The leaders of the failure domains compare their states.
+    run(limits.comparisonInterval + std::chrono::milliseconds(300));
+    for (const char* id : { "b1", "b2" })
+        EXPECT_TRUE(at(id).crashTable.isQuarantined(crashingRequest, m_time.wallMilliseconds())) << id;
 }
 
 // The store rejects some daemons and serves the others.
@@ -315,6 +261,19 @@
         EXPECT_EQ(at(id).store.listener.values, (contents { { "config", "2" } })) << id;
 }
 
+// On a calm day each member sends four requests a second, and each leader no more than its comparisons.
+TEST_F(FleetSyncTest, RequestRateOnACalmDay)
+{
+    write("config", "1");
+    run(std::chrono::seconds(3));
+    const int requestsBefore = m_network.requests;
+    run(std::chrono::seconds(8));
+    const int memberRequests = 3 * 4 * 8;
+    const int comparisons = static_cast<int>(2 * (std::chrono::seconds(8) / limits.comparisonInterval));
+    EXPECT_LE(m_network.requests - requestsBefore, memberRequests + comparisons);
+    EXPECT_EQ(leaders(), (ids { "a1", "b1" }));
+}
+
 TEST_F(FleetSyncTest, SyncNeverLowersTheAgeOfTheFleetState)
 {
     write("config", "1");
--- a/standins/tests/store_follower_test.cpp
+++ b/standins/tests/store_follower_test.cpp
@@ -115,4 +115,18 @@
     EXPECT_TRUE(m_loop.runUntil([&] { return listener.keys == 2; }, std::chrono::seconds(2)));
 }
 
+// Guards against CONFIG: a store that no longer answers was noticed only when the call had timed out.
+TEST_F(StoreFollowerTest, AReadThatIsOverdueShowsThatTheStoreIsOutOfReach)
+{
+    m_follower.setActive(true);
+    ASSERT_TRUE(m_loop.runUntil([&] { return m_topic.isSynced(); }, wait));
+    runFor(wait * 2);
+    EXPECT_TRUE(m_follower.isReachable());
+    m_store.set("outage", 2);
+    EXPECT_TRUE(m_loop.runUntil([&] { return !m_follower.isReachable(); }, wait + callTime * 2))
+        << "the call itself times out only after 1.2 s more";
+    m_store.set("outage", 0);
+    EXPECT_TRUE(m_loop.runUntil([&] { return m_follower.isReachable(); }, std::chrono::seconds(5)));
+}
+
 } // namespace pollen
