--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -17,8 +17,8 @@
 constexpr int comparisonsPerLimit = 5;
 // The platform's settings hold no secret that only daemons know; the tag of a frame only shows that it is whole.
 constexpr const char* peerSecret = "pollenroute";
-// Prefixes of the messages between daemons. The prefix changes with the format, so that daemons of two releases give each
-// other no answer and read the store instead.
+// Prefixes of the messages between daemons. The prefix changes with the format, so that daemons of two releases give
+// each other no answer and read the store instead.
 constexpr const char* fleetSyncChannel = "sync-2:";
 constexpr const char* permitChannel = "permit:";
 // Within the 32 MB that the users give a daemon for control; the smallest instance of today has 88 MB.
