Tell the histories of a restored store apart

Cause: Store-Era was not read. Offsets of the lost history were compared with those that the store gave out again, so that new records looked older than known ones; the followers read from an offset beyond the end, 888 times in 4.5 s.

Change: a position is an era and an offset, in topics, messages between daemons and conditions of writes. What was known before a restore is carried over; records of the copy replace it only if they say that they are newer, and records of the new era always do. Leaders write again what only daemons write. A daemon that starts asks others before it relies on the store.

--- a/libs/relay/include/relay/fleet_sync.h
+++ b/libs/relay/include/relay/fleet_sync.h
@@ -93,6 +93,8 @@
     bool isBackingOff(time_point now) const;
     // The fleet state is not known yet, and a preceding daemon may be about to receive it.
     bool isStarting(time_point now) const;
+    // Whether a starting daemon has asked enough daemons in vain.
+    bool hasAskedOthers() const;
     bool shouldLead(time_point now) const;
     void updateLeadership(time_point now);
     void noticeStoreLoss(time_point now);
--- a/libs/relay/include/relay/fleet_sync_message.h
+++ b/libs/relay/include/relay/fleet_sync_message.h
@@ -25,8 +25,8 @@
 
 // Requests the changes of the fleet state that the sender does not have yet.
 struct fleet_sync_request {
-    // Log position of each topic, in the order of fleet_store::topics(), which is the same in all daemons.
-    std::vector<uint64_t> positions;
+    // How far the sender knows each topic, in the order of fleet_store::topics(), which is the same in all daemons.
+    std::vector<topic_state> topics;
     // The requesting daemon.
     instance_id sender;
     // Whether the sender belongs to the receiver's group, which sums up the observations and the work of its members. A
--- a/libs/relay/include/relay/shared_topic.h
+++ b/libs/relay/include/relay/shared_topic.h
@@ -1,87 +1,83 @@
 #pragma once
 
-#include <algorithm>
-#include <base/clock.h>
-#include <cstdint>
 #include <map>
-#include <optional>
+#include <relay/topic_change.h>
+#include <relay/topic_listener.h>
 #include <set>
-#include <string>
-#include <vector>
 
 namespace pollen {
 
-// The newest record of one key; a record without a value is a tombstone: the key has been deleted.
-struct topic_record {
-    std::string key;
-    std::optional<std::string> value;
-    // Position of the record in the platform's log.
-    uint64_t offset = 0;
-
-    friend bool operator==(const topic_record&, const topic_record&) = default;
-};
-
-// Receives the records of a topic.
-class topic_listener {
-public:
-    virtual ~topic_listener() = default;
-    // Returns false when the record changes nothing relevant, so that it need not be passed on.
-    virtual bool onKey(const std::string& key, const std::optional<std::string>& value) = 0;
-    // All records that the topic held at that time have been passed to onKey().
-    virtual void onSynced(time_point asOf) = 0;
-};
-
-// Changes of a topic since a log position.
-struct topic_change {
-    // The records are the complete topic; all other keys have been deleted.
-    bool isSnapshot = false;
-    // The change contains the effect of all records before this position.
-    uint64_t position = 0;
-    // Time since the sender last knew that there was nothing newer.
-    duration age { 0 };
-    std::vector<topic_record> records;
-
-    friend bool operator==(const topic_change&, const topic_change&) = default;
-};
-
 // The newest records of a keyed topic, with their positions, so that daemons can send each other the records that the
 // receiver lacks, whether these came from the log or from a third daemon.
+//
+// When the store comes back from an older copy, a new era begins and its offsets start from the copy's end. What was
+// known before is carried over: a record of the copy does not replace it, unless the record says that it is newer. A
+// carried record is confirmed by an equal or newer one of the new era.
 class shared_topic {
 public:
-    explicit shared_topic(topic_listener& listener)
+    // Times after the start of an era, for topics whose writers repeat their records by themselves and whose keys
+    // lapse.
+    struct lapse_times {
+        // Carried records that the new era has not confirmed by then are dropped.
+        duration unconfirmed { 0 };
+        // Records that contradict what was known before are accepted if they still stand then.
+        duration doubtful { 0 };
+    };
+
+    explicit shared_topic(topic_listener& listener, std::optional<lapse_times> lapse = std::nullopt)
         : m_listener(listener)
+        , m_lapse(lapse)
     {
     }
 
     // Applies one record; a record that is not newer than the known one of its key is ignored.
     void apply(const topic_record& record);
 
-    // Deletes the keys that are not in the set and were last written before the given position.
-    void keepOnly(const std::set<std::string>& keys, uint64_t before);
+    // Deletes the keys that are not in the set and were last written before the given position of its era.
+    void keepOnly(const std::set<std::string>& keys, const log_position& before);
 
     // Marks the topic as complete up to the given position as of the given time.
-    void markSynced(uint64_t position, time_point asOf);
+    void markSynced(const log_position& position, time_point asOf);
 
     // False until the first call of markSynced().
     bool isSynced() const { return m_isSynced; }
     // Position after the last known record.
-    uint64_t position() const { return m_position; }
+    const log_position& position() const { return m_position; }
+    topic_state state() const { return { m_position, carriedDigest() }; }
     time_point asOf() const { return m_asOf; }
 
-    // Changes for a daemon at the given position; none while the topic has not been synced.
-    std::optional<topic_change> changeSince(uint64_t position, time_point now) const;
+    // Changes for a daemon that knows the topic as far as the given state; none while the topic has not been synced.
+    std::optional<topic_change> changeSince(const topic_state& known, time_point now) const;
 
     // Applies the changes that another daemon sent. requestedAt: when the request was sent.
     void apply(const topic_change& change, time_point requestedAt);
 
+    // Values that the store has not shown since it was restored.
+    std::vector<topic_record> unconfirmed() const;
+
 private:
+    bool isNewer(const topic_record& record, const topic_record& known) const;
+    bool isCarried(const topic_record& record) const { return record.position.era < m_position.era; }
+    // Whether a record of the copy belongs to a key that had lapsed before the restore.
+    bool hadLapsed(const topic_record& record) const;
+    void store(const topic_record& record);
+    uint64_t carriedDigest() const;
+    void dropUnconfirmed();
+    void acceptDoubtful();
+    void discardTombstones();
+
     topic_listener& m_listener;
+    std::optional<lapse_times> m_lapse;
     std::map<std::string, topic_record> m_records;
+    // Records of the current era that contradict carried ones, for topics whose keys lapse.
+    std::map<std::string, topic_record> m_doubtful;
     bool m_isSynced = false;
-    uint64_t m_position = 0;
+    log_position m_position;
     // Tombstones before this position have been discarded.
-    uint64_t m_oldestTombstone = 0;
+    log_position m_oldestTombstone;
     time_point m_asOf {};
+    // When the era of m_position was first synced.
+    time_point m_eraSince {};
 };
 
 } // namespace pollen
--- a/libs/relay/src/fleet_sync.cpp
+++ b/libs/relay/src/fleet_sync.cpp
@@ -212,13 +212,18 @@
     return !topics.empty() && !topics.front()->isSynced() && (!m_startedAt || now - *m_startedAt < startTimeout);
 }
 
+// The store may have come back from a copy that is older than what the others know, so they are asked first.
+bool fleet_sync::hasAskedOthers() const
+{
+    return m_store.daemonCount() <= 1 || m_consecutiveFailures >= maximumImmediateRequests;
+}
+
 bool fleet_sync::shouldLead(time_point now) const
 {
     if (!m_upstream.empty())
         return false;
     const bool hasFallback = m_fallbackSyncAt && now - *m_fallbackSyncAt < fallbackSyncLifetime;
-    const bool waitsForDaemons = isStarting(now) && !m_store.daemonsKnown();
-    if (waitsForDaemons || (isStarting(now) && precedingDaemons() > 0))
+    if (isStarting(now) && (!m_store.daemonsKnown() || precedingDaemons() > 0 || !hasAskedOthers()))
         return false;
     if (hasFallback && precedingDaemons() >= storeReaders)
         return false;
@@ -279,7 +284,7 @@
 {
     fleet_sync_request request;
     for (const shared_topic* topic : m_store.topics())
-        request.positions.push_back(topic->position());
+        request.topics.push_back(topic->state());
     request.sender = m_self.id;
     request.isMember = isMember;
     if (isMember) {
@@ -453,12 +458,12 @@
     try {
         const fleet_sync_request request = decodeFleetSyncRequest(bytes);
         const std::vector<shared_topic*> topics = m_store.topics();
-        if (request.positions.size() != topics.size())
+        if (request.topics.size() != topics.size())
             return {};
         fleet_sync_reply reply;
         reply.hasLostStore = hasLostStore(now);
         for (size_t i = 0; i < topics.size(); ++i) {
-            const auto change = topics[i]->changeSince(request.positions[i], now);
+            const auto change = topics[i]->changeSince(request.topics[i], now);
             if (!change)
                 return {};
             reply.changes.push_back(*change);
--- a/libs/relay/src/fleet_sync_message.cpp
+++ b/libs/relay/src/fleet_sync_message.cpp
@@ -4,9 +4,19 @@
 
 namespace pollen {
 
+template <typename Archive> void serialize(Archive& archive, log_position& position)
+{
+    archive(position.era, position.offset);
+}
+
+template <typename Archive> void serialize(Archive& archive, topic_state& state)
+{
+    archive(state.position, state.carriedDigest);
+}
+
 template <typename Archive> void serialize(Archive& archive, topic_record& record)
 {
-    archive(record.key, record.value, record.offset);
+    archive(record.key, record.value, record.position, record.mayPredateEra);
 }
 
 template <typename Archive> void serialize(Archive& archive, topic_change& change)
@@ -60,7 +70,8 @@
 
 template <typename Archive> void serialize(Archive& archive, fleet_sync_request& request)
 {
-    archive(request.positions, request.sender, request.isMember, request.reports, request.work, request.crashes, request.rateLimits);
+    archive(request.topics, request.sender, request.isMember, request.reports, request.work, request.crashes,
+        request.rateLimits);
 }
 
 template <typename Archive> void serialize(Archive& archive, fleet_sync_reply& reply)
--- a/libs/relay/tests/configuration_delay_test.cpp
+++ b/libs/relay/tests/configuration_delay_test.cpp
@@ -93,7 +93,7 @@
         while (m_time.now() - start < maximum) {
             run(step);
             const bool known = std::all_of(m_members.begin(), m_members.end(), [&](const member& item) {
-                return item.frozen || item.excused || item.daemon->store.topic.position() >= m_records;
+                return item.frozen || item.excused || item.daemon->store.topic.position().offset >= m_records;
             });
             if (known)
                 break;
@@ -197,12 +197,12 @@
         store.reachable = item.store == store_access::Works || (item.store == store_access::Hangs && !overdue);
         if (item.store != store_access::Works)
             return;
-        const bool hasNews = !store.topic.isSynced() || store.topic.position() < m_records;
+        const bool hasNews = !store.topic.isSynced() || store.topic.position().offset < m_records;
         if (!hasNews && now - *item.readSince < m_wait)
             return;
         for (uint64_t i = 0; i < m_records; ++i)
-            store.topic.apply({ "config", std::to_string(i), i });
-        store.topic.markSynced(m_records, now);
+            store.topic.apply({ "config", std::to_string(i), { 1, i } });
+        store.topic.markSynced({ 1, m_records }, now);
         item.readSince = now;
     }
 
--- a/libs/relay/tests/fleet_sync_test.cpp
+++ b/libs/relay/tests/fleet_sync_test.cpp
@@ -11,6 +11,9 @@
     std::chrono::milliseconds(400) };
 const time_point start { std::chrono::seconds(1000) };
 
+// A position in the first era of the store.
+log_position at(uint64_t offset) { return { 1, offset }; }
+
 using contents = std::map<std::string, std::string>;
 
 class FleetSyncTest : public testing::Test {
@@ -44,7 +47,7 @@
                 if (daemon->store.isLeader && daemon->storeReachable) {
                     for (const topic_record& record : m_written)
                         daemon->store.topic.apply(record);
-                    daemon->store.topic.markSynced(m_written.size(), m_time.now());
+                    daemon->store.topic.markSynced({ 1, m_written.size() }, m_time.now());
                 }
                 daemon->sharing.tick(m_time.now());
             }
@@ -53,7 +56,7 @@
 
     void write(const std::string& key, std::optional<std::string> value)
     {
-        m_written.push_back({ key, std::move(value), m_written.size() });
+        m_written.push_back({ key, std::move(value), { 1, m_written.size() } });
     }
 
     sync_daemon& at(const char* id) { return *m_daemons[id]; }
@@ -83,8 +86,8 @@
 {
     recording_listener listener;
     shared_topic topic(listener);
-    topic.apply({ "k", "new", 5 });
-    topic.apply({ "k", "old", 4 });
+    topic.apply({ "k", "new", at(5) });
+    topic.apply({ "k", "old", at(4) });
     EXPECT_EQ(listener.values, (contents { { "k", "new" } }));
 }
 
@@ -94,20 +97,20 @@
     recording_listener toListener;
     shared_topic from(fromListener);
     shared_topic to(toListener);
-    EXPECT_EQ(from.changeSince(0, start), std::nullopt);
-    from.apply({ "a", "1", 0 });
-    from.apply({ "b", "1", 1 });
-    from.markSynced(2, start);
-    to.apply(*from.changeSince(to.position(), start), start);
+    EXPECT_EQ(from.changeSince({}, start), std::nullopt);
+    from.apply({ "a", "1", at(0) });
+    from.apply({ "b", "1", at(1) });
+    from.markSynced(at(2), start);
+    to.apply(*from.changeSince(to.state(), start), start);
     EXPECT_EQ(toListener.values, (contents { { "a", "1" }, { "b", "1" } }));
-    from.apply({ "a", std::nullopt, 2 });
-    from.apply({ "c", "1", 3 });
-    from.markSynced(4, start);
-    const topic_change change = *from.changeSince(to.position(), start);
+    from.apply({ "a", std::nullopt, at(2) });
+    from.apply({ "c", "1", at(3) });
+    from.markSynced(at(4), start);
+    const topic_change change = *from.changeSince(to.state(), start);
     EXPECT_EQ(change.records.size(), 2U);
     to.apply(change, start);
     EXPECT_EQ(toListener.values, (contents { { "b", "1" }, { "c", "1" } }));
-    EXPECT_EQ(to.position(), 4U);
+    EXPECT_EQ(to.position(), at(4));
 }
 
 TEST(SharedTopic, ASnapshotDeletesKeysItDoesNotContain)
@@ -116,12 +119,12 @@
     recording_listener toListener;
     shared_topic from(fromListener);
     shared_topic to(toListener);
-    to.apply({ "gone", "1", 1 });
-    to.apply({ "newer", "1", 9 });
-    to.markSynced(2, start);
-    from.apply({ "kept", "1", 6 });
-    from.markSynced(7, start);
-    to.apply(*from.changeSince(to.position(), start), start);
+    to.apply({ "gone", "1", at(1) });
+    to.apply({ "newer", "1", at(9) });
+    to.markSynced(at(2), start);
+    from.apply({ "kept", "1", at(6) });
+    from.markSynced(at(7), start);
+    to.apply(*from.changeSince(to.state(), start), start);
     EXPECT_EQ(toListener.values, (contents { { "kept", "1" }, { "newer", "1" } }));
 }
 
@@ -129,9 +132,9 @@
 {
     recording_listener listener;
     shared_topic topic(listener);
-    topic.apply(topic_change { false, 3, std::chrono::seconds(1), {} }, start);
+    topic.apply(topic_change { false, at(3), std::chrono::seconds(1), {} }, start);
     EXPECT_EQ(topic.asOf(), start - std::chrono::seconds(1));
-    topic.apply(topic_change { false, 2, std::chrono::seconds(0), {} }, start + std::chrono::seconds(9));
+    topic.apply(topic_change { false, at(2), std::chrono::seconds(0), {} }, start + std::chrono::seconds(9));
     EXPECT_EQ(topic.asOf(), start - std::chrono::seconds(1)) << "a daemon that is behind has nothing newer";
 }
 
@@ -139,14 +142,16 @@
 {
     const rollout_report report { instance_id("d"), 7, service_name("s"), version_name("v"), std::chrono::seconds(3),
         rollout_evidence({ { "r", { 1, 2, 3, 4, 5, 6 }, { 7, 8, 9, 10, 11, 12 } } }), 9, true, true };
-    const fleet_sync_request request { { 1, 2 }, instance_id("d"), true, { report }, { { instance_id("e"), 3, 17000 } },
+    const fleet_sync_request request { { { { 3, 1 }, 0 }, { { 3, 2 }, 7 } }, instance_id("d"), true, { report },
+        { { instance_id("e"), 3, 17000 } },
         { { { 5, instance_id("d") }, 2, { { instance_id("e"), 1796354559998 } }, 1796354559000 } },
         { { instance_id("e"), 11, 1.1, std::chrono::milliseconds(40) },
             { instance_id("f"), 12, std::nullopt, duration(0) } } };
     EXPECT_EQ(decodeFleetSyncRequest(encodeFleetSyncRequest(request)), request);
     const fleet_sync_reply reply { true,
-        { { true, 9, std::chrono::seconds(2), { { "k", "v", 3 }, { "d", std::nullopt, 4 } } } }, request.reports,
-        request.work, request.crashes, request.rateLimits };
+        { { true, { 3, 9 }, std::chrono::seconds(2),
+            { { "k", "v", { 3, 3 }, true }, { "d", std::nullopt, { 2, 4 } } } } },
+        request.reports, request.work, request.crashes, request.rateLimits };
     const std::string bytes = encodeFleetSyncReply(reply);
     EXPECT_EQ(decodeFleetSyncReply(bytes), reply);
     for (size_t length = 0; length + 1 < bytes.size(); ++length)
--- a/standins/include/standins/store_standin.h
+++ b/standins/include/standins/store_standin.h
@@ -8,7 +8,8 @@
 
 // The users' store: topics of one partition with appends, waiting reads and the newest record of each key. Settings:
 // outage (1: answers 503; 2: answers nothing), lose_answers (number of coming appends that take effect and whose
-// connection is closed without an answer), forget (drops the history of all topics).
+// connection is closed without an answer), forget (drops the history of all topics), era (the number of the era that
+// answers tell; 0: none), copy (makes a copy of all topics), restore (comes back from the copy; a new era begins).
 class store_standin final : public standin {
 public:
     store_standin(event_loop& loop, const endpoint& listenAddress);
@@ -43,11 +44,15 @@
 
     void append(server_request& request, const std::string& name);
     void read(const std::shared_ptr<server_request>& request, const std::string& name);
+    void reply(server_request& request, int status, const nlohmann::json& body);
+    http_headers eraHeaders() const;
     void replyNewest(server_request& request, const std::string& name);
     void add(const std::string& name, const std::string& record);
     void answerWaiting();
 
     std::map<std::string, topic> m_topics;
+    std::map<std::string, topic> m_copy;
+    int64_t m_era = 1;
     std::vector<waiting_read> m_waiting;
     std::vector<std::shared_ptr<server_request>> m_unanswered;
     timer m_timer;
--- a/standins/src/store_standin.cpp
+++ b/standins/src/store_standin.cpp
@@ -53,6 +53,14 @@
         m_outage = value;
     if (name == "lose_answers")
         m_loseAnswers = value;
+    if (name == "era")
+        m_era = value;
+    if (name == "copy")
+        m_copy = m_topics;
+    if (name == "restore") {
+        m_topics = m_copy;
+        ++m_era;
+    }
     if (name != "forget")
         return;
     for (auto& [topicName, topic] : m_topics) {
@@ -78,7 +86,7 @@
 {
     ++m_calls;
     if (m_outage == 1) {
-        replyJson(*request, 503, { { "error", "down" } });
+        reply(*request, 503, { { "error", "down" } });
         return;
     }
     if (m_outage == 2) {
@@ -95,7 +103,7 @@
     else if (path == "/api/log-newest")
         replyNewest(*request, name);
     else
-        replyJson(*request, 404, { { "error", "no such call" } });
+        reply(*request, 404, { { "error", "no such call" } });
 }
 
 void store_standin::append(server_request& request, const std::string& name)
@@ -103,7 +111,7 @@
     const std::string& target = request.request().target;
     topic& topic = m_topics[name];
     if (!queryParameter(target, "at").empty() && number(target, "at") != topic.end()) {
-        replyJson(request, 412, { { "end", topic.end() } });
+        reply(request, 412, { { "end", topic.end() } });
         return;
     }
     const uint64_t offset = topic.end();
@@ -121,7 +129,7 @@
         request.abort();
         return;
     }
-    replyJson(request, 200, { { "offset", offset }, { "end", topic.end() } });
+    reply(request, 200, { { "offset", offset }, { "end", topic.end() } });
 }
 
 void store_standin::add(const std::string& name, const std::string& record)
@@ -154,8 +162,8 @@
     std::vector<waiting_read> still;
     for (const waiting_read& waiting : std::exchange(m_waiting, {})) {
         const topic& topic = m_topics[waiting.topic];
-        if (waiting.from < topic.first) {
-            replyJson(*waiting.request, 410, { { "first", topic.first } });
+        if (waiting.from < topic.first || waiting.from > topic.end()) {
+            reply(*waiting.request, 410, { { "first", topic.first } });
             continue;
         }
         if (waiting.from >= topic.end() && wallMilliseconds() < waiting.deadlineMilliseconds) {
@@ -167,7 +175,7 @@
             const std::string& record = topic.records[i - topic.first];
             body += bigEndian(record.size(), lengthBytes) + record;
         }
-        waiting.request->reply(200, {}, body);
+        waiting.request->reply(200, eraHeaders(), body);
     }
     m_waiting.insert(m_waiting.end(), still.begin(), still.end());
 }
@@ -178,7 +186,19 @@
     nlohmann::json items = nlohmann::json::array();
     for (const auto& [key, entry] : topic.newest)
         items.push_back({ { "key", key }, { "value", base64(entry.second) }, { "offset", entry.first } });
-    replyJson(request, 200, { { "items", items }, { "more", false }, { "end", topic.end() } });
+    reply(request, 200, { { "items", items }, { "more", false }, { "end", topic.end() } });
+}
+
+void store_standin::reply(server_request& request, int status, const nlohmann::json& body)
+{
+    replyJson(request, status, body, eraHeaders());
+}
+
+http_headers store_standin::eraHeaders() const
+{
+    if (m_era == 0)
+        return {};
+    return { { "Store-Era", std::to_string(m_era) } };
 }
 
 nlohmann::json store_standin::records() const
--- a/standins/tests/store_follower_test.cpp
+++ b/standins/tests/store_follower_test.cpp
@@ -129,4 +129,34 @@
     EXPECT_TRUE(m_loop.runUntil([&] { return m_follower.isReachable(); }, std::chrono::seconds(5)));
 }
 
+// Guards against CONFIG: an answer of an earlier era that arrives late, and a condition on a position that a later era
+// has given out again.
+TEST_F(StoreFollowerTest, AnswersAndConditionsOfAnEarlierEraAreNotUsed)
+{
+    std::vector<store_outcome> outcomes;
+    const auto wrote = [&](store_outcome outcome) { outcomes.push_back(outcome); };
+    int restores = 0;
+    m_client.setRestoredCallback([&] { ++restores; });
+    m_client.newest("keyed.op", "", [&](store_outcome outcome, const newest_page&) { outcomes.push_back(outcome); });
+    ASSERT_TRUE(m_loop.runUntil([&] { return outcomes.size() == 1; }, std::chrono::seconds(2)));
+    EXPECT_EQ(m_client.era(), 1U);
+    m_store.set("copy", 1);
+    m_store.set("restore", 1);
+    // The condition on the offset holds by chance; the answer tells the new era.
+    m_client.append("keyed.status", { makeKeyedRecord("k", "v") }, log_position { 1, 0 }, wrote);
+    ASSERT_TRUE(m_loop.runUntil([&] { return outcomes.size() == 2; }, std::chrono::seconds(2)));
+    m_client.append("keyed.status", { makeKeyedRecord("k", "v") }, log_position { 1, 1 }, wrote);
+    ASSERT_TRUE(m_loop.runUntil([&] { return outcomes.size() == 3; }, std::chrono::seconds(2)));
+    m_client.append("keyed.status", { makeKeyedRecord("k", "v") }, log_position { 2, 1 }, wrote);
+    ASSERT_TRUE(m_loop.runUntil([&] { return outcomes.size() == 4; }, std::chrono::seconds(2)));
+    m_store.set("era", 1);
+    m_client.append("keyed.status", { makeKeyedRecord("k", "v") }, std::nullopt, wrote);
+    ASSERT_TRUE(m_loop.runUntil([&] { return outcomes.size() == 5; }, std::chrono::seconds(2)));
+    EXPECT_EQ(outcomes,
+        (std::vector { store_outcome::Done, store_outcome::Unknown, store_outcome::Conflict, store_outcome::Done,
+            store_outcome::Unknown }));
+    EXPECT_EQ(m_client.era(), 2U);
+    EXPECT_EQ(restores, 1);
+}
+
 } // namespace pollen
