Do not take a stream that ends within an event for a complete one

What other operators saw: clients found the next server's error in the middle of their stream, or a stream that had broken off ended as if it were complete; and a 200 with an empty body, framed as whole, of a server that had stopped.

Found here: an error or half of a head of the next server was never passed on, and an answer with a length that is cut is no success. But a stream whose connection ended in order was complete, also within an event, and one without any event was a 200 with an empty body.

Change: a stream that ends within an event, or without any event where nothing else tells its end, has been broken off: it is continued elsewhere, or broken off towards the caller as well.

Evidence: BrokenAnswerTest over sockets.

--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -31,6 +31,8 @@
     bool responseStarted = false;
     // The server refused, reset or closed the connection, as opposed to not answering in time.
     bool refused = false;
+    // The response had neither a length nor chunks and ended with its connection, so that it may be incomplete.
+    bool endedWithConnection = false;
 
     bool ok() const { return failure == exchange_failure::None; }
 
--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -162,7 +162,7 @@
             && m_parser->feedEof() == parse_state::Complete;
         if (complete && !m_skipping) {
             m_reusable = false;
-            m_exchange->onComplete();
+            m_exchange->onComplete(true);
             return;
         }
     }
@@ -203,7 +203,7 @@
             continue;
         }
         m_reusable = m_parser->keepAlive() && !m_hasSkippedResponse;
-        m_exchange->onComplete();
+        m_exchange->onComplete(false);
         return;
     }
 }
--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -14,7 +14,8 @@
     virtual ~connection_listener() = default;
     virtual void onHead(int status, const http_headers& headers) = 0;
     virtual void onBody(std::string_view bytes) = 0;
-    virtual void onComplete() = 0;
+    // endedWithConnection: the response had no length, and its end is an orderly close.
+    virtual void onComplete(bool endedWithConnection) = 0;
     virtual void onFailed(exchange_failure failure, bool refused) = 0;
 };
 
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -191,8 +191,9 @@
         m_listener.onData(bytes);
     }
 
-    void onComplete() override
+    void onComplete(bool endedWithConnection) override
     {
+        m_endedWithConnection = endedWithConnection;
         if (!m_finished)
             finish(exchange_failure::None);
     }
@@ -230,7 +231,8 @@
     {
         m_finished = true;
         m_deadline.stop();
-        const exchange_result result { failure, m_connection->bytesSent() > 0, m_responseStarted, m_refused };
+        const exchange_result result { failure, m_connection->bytesSent() > 0, m_responseStarted, m_refused,
+            m_endedWithConnection };
         const auto connection = std::exchange(m_connection, nullptr);
         if (failure != exchange_failure::None || m_closeWhenFinished)
             connection->close();
@@ -252,6 +254,7 @@
     bool m_closeWhenFinished = false;
     bool m_responseStarted = false;
     bool m_refused = false;
+    bool m_endedWithConnection = false;
     bool m_finished = false;
 };
 
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -305,6 +305,7 @@
     m_status = 0;
     m_discard = false;
     m_discardedBytes = 0;
+    m_earlierEvents = m_events.completeEvents();
     m_firstByteTime = {};
     m_underTrialLoad = !placement.onlyServers.empty() && !placement.parts.empty();
     m_dependencies.rolloutSystem.countSent(subject());
@@ -544,6 +545,13 @@
         retryOrFail("not_run", true);
         return;
     }
+    if (isStreamCut(result)) {
+        m_dependencies.state.servers().reportFailure(server, m_dependencies.time.now());
+        m_events.discardPartialEvent();
+        countAnswer(false);
+        retryOrFail("stream_cut", true);
+        return;
+    }
     m_dependencies.state.servers().reportSuccess(server);
     recordAnswerForCrashes();
     countAnswer(m_status < firstServerErrorStatus);
@@ -554,6 +562,16 @@
     finishAnswer();
 }
 
+// A stream that ends within an event has been broken off, however its end is framed. One without any event was broken
+// off if nothing else tells its end.
+bool relay_exchange::isStreamCut(const exchange_result& result) const
+{
+    if (m_discard || !isStreamAnswer())
+        return false;
+    const bool isEmpty = m_events.completeEvents() == m_earlierEvents;
+    return !m_events.partialEvent().empty() || (isEmpty && (result.endedWithConnection || !m_streamStarted));
+}
+
 void relay_exchange::recordAnswerForCrashes()
 {
     const int64_t now = m_dependencies.time.wallMilliseconds();
@@ -590,8 +608,6 @@
 void relay_exchange::finishAnswer()
 {
     if (isStreamAnswer() || m_streamStarted) {
-        if (!m_events.partialEvent().empty() || !m_streamStarted)
-            forwardEvents(m_events.partialEvent());
         m_request->endStream();
         m_paceTimer.stop();
         recordAnswerPace();
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -72,6 +72,8 @@
     // Records the rate limit that the server names in its answer, or that it names none.
     void recordRateLimit(time_point now);
 
+    // Whether the answer that has ended is a stream whose end is missing.
+    bool isStreamCut(const exchange_result& result) const;
     bool isStreamAnswer() const { return m_admission.route->streaming && m_status == 200; }
     bool hasAttemptsLeft() const;
     bool tryEscalation();
@@ -166,6 +168,8 @@
     answer_buffer m_body;
     event_splitter m_events;
     bool m_streamStarted = false;
+    // Complete events before the current attempt.
+    size_t m_earlierEvents = 0;
     bool m_paused = false;
     const char* m_lastReason = "";
     // Why the request was not retried after its last attempt.
--- /dev/null
+++ b/standins/tests/broken_answer_test.cpp
@@ -0,0 +1,174 @@
+#include "relay_fixture.h"
+
+#include <base/socket_address.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <sys/socket.h>
+
+namespace pollen {
+
+namespace {
+
+// Answers the requests that it gets with fixed bytes, one after the other, and closes each connection behind them.
+class byte_server {
+public:
+    struct reply {
+        std::string bytes;
+        bool reset = false;
+    };
+
+    byte_server(event_loop& loop, std::vector<reply> script)
+        : m_loop(loop)
+        , m_script(std::move(script))
+    {
+        const auto onAccept = [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* argument) {
+            auto* self = static_cast<byte_server*>(argument);
+            bufferevent* events = bufferevent_socket_new(self->m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
+            const auto onRead
+                = [](bufferevent* readable, void* server) { static_cast<byte_server*>(server)->answer(readable); };
+            bufferevent_setcb(events, onRead, nullptr, nullptr, self);
+            bufferevent_enable(events, EV_READ);
+        };
+        socket_address address = toSocketAddress({ "127.0.0.1", 0 });
+        m_listener = evconnlistener_new_bind(
+            loop.base(), onAccept, this, LEV_OPT_CLOSE_ON_FREE, 16, address.get(), static_cast<int>(address.length));
+        socket_address bound;
+        getsockname(evconnlistener_get_fd(m_listener), bound.get(), &bound.length);
+        m_address = toEndpoint(bound);
+    }
+    ~byte_server() { evconnlistener_free(m_listener); }
+    byte_server(const byte_server&) = delete;
+    byte_server& operator=(const byte_server&) = delete;
+
+    const endpoint& address() const { return m_address; }
+    size_t requests() const { return m_requests; }
+
+private:
+    void answer(bufferevent* connection)
+    {
+        const reply& next = m_script[std::min(m_requests++, m_script.size() - 1)];
+        const evutil_socket_t socket = bufferevent_getfd(connection);
+        ::send(socket, next.bytes.data(), next.bytes.size(), MSG_NOSIGNAL);
+        bufferevent_setcb(connection, nullptr, nullptr, nullptr, nullptr);
+        if (!next.reset)
+            ::shutdown(socket, SHUT_WR);
+        // A reset right behind the bytes would overtake them.
+        m_timers.push_back(std::make_unique<timer>(m_loop, [connection, socket, reset = next.reset] {
+            const linger now { reset ? 1 : 0, 0 };
+            ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+            bufferevent_free(connection);
+        }));
+        m_timers.back()->startOnce(std::chrono::milliseconds(20));
+    }
+
+    event_loop& m_loop;
+    std::vector<reply> m_script;
+    evconnlistener* m_listener = nullptr;
+    endpoint m_address;
+    size_t m_requests = 0;
+    std::vector<std::unique_ptr<timer>> m_timers;
+};
+
+const std::string head = "HTTP/1.1 200 OK\r\nPollenroute-Request-Id: id-1\r\nPollenroute-Response-Seal: seal\r\n";
+const std::string serverError = "HTTP/1.1 500 Internal Server Error\r\nPollenroute-Request-Id: id-1\r\n"
+                                "Content-Length: 20\r\n\r\nid: 7\ndata: broken\n\n";
+
+// Without a length, so that the answer ends with its connection.
+std::string unframed(const std::string& body) { return head + "\r\n" + body; }
+std::string framed(const std::string& body)
+{
+    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+std::string chunk(const std::string& body)
+{
+    return head + "Transfer-Encoding: chunked\r\n\r\n" + std::to_string(body.size()) + "\r\n" + body + "\r\n";
+}
+
+struct told_answer {
+    bool complete = false;
+    int status = 0;
+    std::string body;
+
+    friend bool operator==(const told_answer&, const told_answer&) = default;
+};
+
+class BrokenAnswerTest : public testing::Test {
+protected:
+    // Sends a request to a daemon whose only server has this script.
+    told_answer send(const char* target, const std::vector<byte_server::reply>& script)
+    {
+        store_standin store(m_loop, { "127.0.0.1", 0 });
+        byte_server server(m_loop, script);
+        store.put("keyed.op", "config", configuration(1));
+        for (const char* id : { "i-1", "i-2", "i-3" }) {
+            store.put("keyed.servers", id, serverEntry("advice", server.address()));
+            store.put("keyed.servers", std::string("d") + id, serverEntry("desk", server.address()));
+        }
+        fleet_daemon daemon(m_loop, m_log, m_time, store, "d1", "a");
+        EXPECT_TRUE(m_loop.runUntil([&] { return daemon.relay().gateway().ready(); }, patience));
+        const http_request message { "GET", target,
+            { { "Host", "h.example" }, { "Pollenroute-Request-Id", "id-1" }, { "Pollenroute-Deadline-Ms", "1500" },
+                { "Pollenroute-Key", "key" } },
+            "" };
+        std::optional<told_answer> told;
+        m_caller.fetch(daemon.address(), message, {}, [&](const exchange_result& result, const http_response& reply) {
+            told = told_answer { result.ok(), reply.status, reply.body };
+        });
+        EXPECT_TRUE(m_loop.runUntil([&] { return told.has_value(); }, patience));
+        return told.value_or(told_answer {});
+    }
+
+    event_loop m_loop;
+    null_logger m_log;
+    os_clock m_time;
+    http_client m_caller { m_loop };
+};
+
+} // namespace
+
+// Guards against ORDER and MIXED: a stream that broke off within an event ended as if it were complete, or was followed
+// by the next server's error.
+TEST_F(BrokenAnswerTest, AStreamEndsOnlyWithItsLastEvent)
+{
+    const std::string begin = event(1) + event(2).substr(0, 9);
+    const std::string rest = event(2) + event(3);
+    const std::string whole = event(1) + rest;
+    struct stream_case {
+        const char* what;
+        std::vector<byte_server::reply> script;
+        told_answer expected;
+    };
+    const std::vector<stream_case> cases {
+        { "whole, with its connection", { { unframed(whole) } }, { true, 200, whole } },
+        { "cut, with its connection", { { unframed(begin) }, { framed(rest) } }, { true, 200, whole } },
+        { "cut, with a length", { { framed(begin) }, { framed(rest) } }, { true, 200, whole } },
+        { "cut, and an error next", { { unframed(begin) }, { serverError } }, { false, 200, event(1) } },
+        { "reset, and an error next", { { chunk(event(1)), true }, { serverError } }, { false, 200, event(1) } },
+        { "cut, and half of a head next", { { unframed(begin) }, { head.substr(0, 40) } }, { false, 200, event(1) } },
+        { "cut, and a head alone next", { { unframed(begin) }, { unframed("") } }, { false, 200, event(1) } },
+        { "cut, and no stream next", { { unframed(begin) }, { unframed("out of order") } }, { false, 200, event(1) } },
+        { "a head alone", { { unframed("") } }, { true, 502, "" } },
+        { "half of a head", { { head.substr(0, 40) } }, { true, 502, "" } },
+    };
+    for (const stream_case& item : cases) {
+        told_answer told = send("/s/x", item.script);
+        // The router's own error has a body of its own.
+        if (told.status != 200)
+            told.body.clear();
+        EXPECT_EQ(told, item.expected) << item.what << ": " << told.body;
+    }
+}
+
+// Guards against MIXED: a server stops within the head of its answer and closes, and the caller gets a 200.
+TEST_F(BrokenAnswerTest, AnAnswerThatIsCutIsNeverASuccess)
+{
+    const std::string whole = framed("done");
+    for (size_t length = 0; length < whole.size(); length += 3) {
+        for (const bool reset : { false, true }) {
+            const told_answer told = send("/o/x", { { whole.substr(0, length), reset } });
+            EXPECT_EQ(told.status, 502) << length << ' ' << reset;
+        }
+    }
+}
+
+} // namespace pollen
