--- a/apps/pollenrouted/main.cpp
+++ b/apps/pollenrouted/main.cpp
@@ -3,6 +3,7 @@
 
 #include <base/error.h>
 #include <config/fleet_document.h>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <memory>
@@ -88,6 +89,8 @@
 
 int main(int argc, const char** argv)
 {
+    // The signal to reload must not end a process that does not handle it yet.
+    std::signal(SIGHUP, SIG_IGN);
     command_line line;
     if (!parse(argc, argv, line))
         return BadUsage;
--- /dev/null
+++ b/standins/tests/daemon_process.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <base/endpoint.h>
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <spawn.h>
+#include <sstream>
+#include <string>
+#include <sys/wait.h>
+
+namespace pollen {
+
+// A pollenrouted as a process of its own, with the platform's settings.
+class daemon_process {
+public:
+    // address: the daemon listens on it with the ports below.
+    daemon_process(std::string id, std::string failureDomain, std::string address, const endpoint& store,
+        const std::string& directory)
+        : m_id(std::move(id))
+        , m_failureDomain(std::move(failureDomain))
+        , m_address(std::move(address))
+        , m_settingsFile(directory + "/" + m_id + ".toml")
+        , m_logFile(directory + "/" + m_id + ".log")
+    {
+        std::ofstream(m_settingsFile) << settings(store);
+    }
+    ~daemon_process()
+    {
+        if (!isRunning())
+            return;
+        ::kill(m_process, SIGKILL);
+        ::waitpid(m_process, nullptr, 0);
+    }
+    daemon_process(const daemon_process&) = delete;
+    daemon_process& operator=(const daemon_process&) = delete;
+
+    std::string settings(const endpoint& store) const
+    {
+        std::ostringstream text;
+        text << "node = \"" << m_id << "\"\nzone = \"" << m_failureDomain << "\"\nport-range = [" << peerPort << ", "
+             << peerPort + 15 << "]\n[listen]\nfront = \"" << m_address << ":" << callerPort << "\"\nready = \""
+             << m_address << ":" << readinessPort << "\"\n[bounds]\nconfig-apply-ms = 2000\ndrain-ms = 2000\n"
+             << "grace-s = 4\nstrict-revoke = true\nrevoke-ms = 5000\nretry-ratio = 0.9\nretry-slack = 58\n"
+             << "retry-window-s = 10\nexposure-share = 0.15\nexposure-slack = 30\nsession-s = 5\n[platform]\n"
+             << "address = \"" << store.text() << "\"\n";
+        return text.str();
+    }
+    const std::string& settingsFile() const { return m_settingsFile; }
+
+    void start()
+    {
+        const std::string variable = "POLLENROUTE_CONFIG=" + m_settingsFile;
+        const std::string program = POLLENROUTED;
+        char* arguments[] = { const_cast<char*>(program.c_str()), nullptr };
+        char* environment[] = { const_cast<char*>(variable.c_str()), nullptr };
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        posix_spawn_file_actions_addopen(
+            &actions, STDOUT_FILENO, m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        ASSERT_EQ(posix_spawn(&m_process, program.c_str(), &actions, nullptr, arguments, environment), 0);
+        posix_spawn_file_actions_destroy(&actions);
+    }
+
+    // Reaps the process once it has ended.
+    bool isRunning()
+    {
+        int status = 0;
+        if (m_process > 0 && ::waitpid(m_process, &status, WNOHANG) == m_process) {
+            m_endedBySignal = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
+            m_process = 0;
+        }
+        return m_process > 0;
+    }
+
+    void signal(int number)
+    {
+        if (isRunning())
+            ::kill(m_process, number);
+    }
+
+    const std::string& id() const { return m_id; }
+    // Signal that ended the last process; 0 if it exited by itself.
+    int endedBySignal() const { return m_endedBySignal; }
+    endpoint callers() const { return { m_address, callerPort }; }
+    endpoint readiness() const { return { m_address, readinessPort }; }
+
+private:
+    static constexpr uint16_t callerPort = 17801;
+    static constexpr uint16_t readinessPort = 17802;
+    static constexpr uint16_t peerPort = 17810;
+
+    std::string m_id;
+    std::string m_failureDomain;
+    std::string m_address;
+    std::string m_settingsFile;
+    std::string m_logFile;
+    pid_t m_process = 0;
+    int m_endedBySignal = 0;
+};
+
+} // namespace pollen
