Cancel requests by a reset

A request that is cancelled (an escalation, a stream that goes on elsewhere, a caller that has left) ended with an orderly close of its connection. A server may take that for the end of the request alone and go on: then the request goes on at another server while the first still works on it (TWICE), or for nobody (GONE). That the users' cases came about this way is only suspected: they kept no logs.

Change: a cancelled or failed exchange resets its connection.

Evidence: AServerSeesAResetWhenItsRequestIsCancelled failed before and passes.

--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -127,6 +127,15 @@
     m_loop.post([self = shared_from_this()] { bufferevent_free(std::exchange(self->m_bufferEvent, nullptr)); });
 }
 
+void client_connection::abort()
+{
+    if (m_closed)
+        return;
+    const linger resetAtOnce { 1, 0 };
+    setsockopt(bufferevent_getfd(m_bufferEvent), SOL_SOCKET, SO_LINGER, &resetAtOnce, sizeof resetAtOnce);
+    close();
+}
+
 void client_connection::pauseReading()
 {
     if (!m_closed)
--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -46,6 +46,8 @@
 
     // The bufferevent is freed later from the event loop, because this may run inside one of its callbacks.
     void close();
+    // Closes with a reset. A server may go on with a request after an orderly close, which can be half a one.
+    void abort();
 
     void pauseReading();
     void resumeReading();
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -130,7 +130,7 @@
     {
         *m_alive = false;
         if (m_connection)
-            m_connection->close();
+            m_connection->abort();
     }
 
     void pauseReading() override
@@ -234,7 +234,9 @@
         const exchange_result result { failure, m_connection->bytesSent() > 0, m_responseStarted, m_refused,
             m_endedWithConnection };
         const auto connection = std::exchange(m_connection, nullptr);
-        if (failure != exchange_failure::None || m_closeWhenFinished)
+        if (failure != exchange_failure::None)
+            connection->abort();
+        else if (m_closeWhenFinished)
             connection->close();
         else if (connection->release())
             m_pool->put(connection);
--- a/libs/http/tests/hostile_message_test.cpp
+++ b/libs/http/tests/hostile_message_test.cpp
@@ -53,6 +53,8 @@
 
     const endpoint& address() const { return m_address; }
     size_t connections() const { return m_connections; }
+    // Connections that the client has reset.
+    size_t resets() const { return m_resets; }
 
     // Accepts connections and answers pending requests without blocking.
     void poll()
@@ -72,6 +74,7 @@
     {
         char buffer[65536];
         const ssize_t length = ::recv(socket, buffer, sizeof buffer, MSG_DONTWAIT);
+        m_resets += length < 0 && errno == ECONNRESET ? 1 : 0;
         if (length < 0)
             return;
         if (length > 0)
@@ -91,6 +94,7 @@
     endpoint m_address;
     std::vector<int> m_open;
     size_t m_connections = 0;
+    size_t m_resets = 0;
 };
 
 using connection_end = scripted_server::connection_end;
@@ -333,4 +337,33 @@
     ::close(busy);
 }
 
+// Guards against TWICE: a request that goes on elsewhere while its first server still runs it. A server may take an
+// orderly close for the end of the request alone.
+TEST_F(HostileMessageTest, AServerSeesAResetWhenItsRequestIsCancelled)
+{
+    class ignoring_listener final : public exchange_listener {
+    public:
+        void onHead(int, const http_headers&) override { }
+        void onData(std::string_view) override { }
+        void onFinished(const exchange_result&) override { }
+    };
+    ignoring_listener listener;
+    scripted_server server("", connection_end::KeepOpen);
+    auto exchange = m_client.start(server.address(), get, {}, listener);
+    const time_point end = os_clock().now() + std::chrono::milliseconds(50);
+    m_loop.runUntil(
+        [&] {
+            server.poll();
+            return os_clock().now() >= end;
+        },
+        testTimeout);
+    exchange.reset();
+    EXPECT_TRUE(m_loop.runUntil(
+        [&] {
+            server.poll();
+            return server.resets() == 1;
+        },
+        std::chrono::seconds(1)));
+}
+
 } // namespace pollen
