--- a/standins/tests/store_follower_test.cpp
+++ b/standins/tests/store_follower_test.cpp
@@ -159,4 +159,23 @@
     EXPECT_EQ(restores, 1);
 }
 
+// Guards against CONFIG: records that had expired before they were read were asked for again and again.
+TEST_F(StoreFollowerTest, HistoryThatHasExpiredIsReadAsASnapshot)
+{
+    m_follower.setActive(true);
+    ASSERT_TRUE(m_loop.runUntil([&] { return m_topic.isSynced(); }, wait));
+    for (int lost = 0; lost < 2; ++lost) {
+        m_store.set("outage", 1);
+        runFor(wait / 2);
+        m_store.put("keyed.op", "config", std::to_string(lost));
+        m_store.put("keyed.op", "other", std::to_string(lost));
+        m_store.set("forget", 1);
+        m_store.set("outage", 0);
+        EXPECT_TRUE(m_loop.runUntil([&] { return m_listener.keys == 2 * lost + 2; }, wait * 4)) << lost;
+    }
+    const size_t before = m_store.calls();
+    runFor(wait * 2);
+    EXPECT_LE(m_store.calls() - before, 4U);
+}
+
 } // namespace pollen
