Heed what servers say of themselves: leaving, and a pause

Where all servers pause, callers are refused at once, with a Retry-After that fits the earliest end.

Evidence: ServerStatementTest over sockets, three daemons and a store that says ready throughout: leaving in an answer, a rejection, an answer without a body, the head of a stream; a pause under load. Two of four failed before; the other two held and guard the rest.

--- a/libs/fleet/include/fleet/server_table.h
+++ b/libs/fleet/include/fleet/server_table.h
@@ -4,6 +4,7 @@
 #include <base/clock.h>
 #include <config/fleet_document.h>
 #include <fleet/handles.h>
+#include <fleet/server_statements.h>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -44,8 +45,11 @@
     uint32_t consecutiveFailures = 0;
     // Back-off after a failure: no new requests before this time.
     time_point unavailableUntil {};
+    // The server has said that it wants no requests before this time.
+    time_point notBefore {};
 
-    bool isAvailable(time_point now) const { return used && !leaving && now >= unavailableUntil; }
+    // Whether a new request may be sent to the server now, whatever kind of request it is.
+    bool isAvailable(time_point now) const { return used && !leaving && now >= unavailableUntil && now >= notBefore; }
     // Takes the greater count for other daemons, because their own reports may be newer than the server's load report.
     uint32_t outstanding() const { return ownRequests + std::max(otherRequests, peerRequests); }
     double slowdown(time_point now) const { return now < slowdownUntil ? reportedSlowdown : 1; }
@@ -86,6 +90,13 @@
     void addPeerLoad(const instance_id& server, uint32_t requests, uint64_t pendingPromptTokens);
     void reportSlowdown(server_handle server, double slowdown, time_point now);
     void reportSuccess(server_handle server) { m_rows[server.index].consecutiveFailures = 0; }
+    // The server says in an answer that it leaves, or that it wants no requests before a time. Holds for its process,
+    // also while the list says otherwise. Both return false if this was known.
+    bool reportLeaving(server_handle server);
+    bool reportNotBefore(server_handle server, time_point notBefore);
+    // The earliest time at which a server of the service that is not leaving takes requests again; none if there is no
+    // such server.
+    std::optional<time_point> earliestReturn(const service_name& service) const;
     // Makes the server unavailable for a back-off that doubles with each consecutive failure. Failures during a
     // back-off do not count again.
     void reportFailure(server_handle server, time_point now);
@@ -95,6 +106,10 @@
 private:
     server_handle add(const server_entry& entry);
 
+    // Applies what the server's process has said of itself to its row.
+    void applyStatements(server_row& row) const;
+
+    server_statements m_statements;
     std::vector<server_row> m_rows;
     std::vector<bool> m_listed;
     std::unordered_map<instance_id, server_handle> m_byId;
--- a/libs/fleet/src/server_table.cpp
+++ b/libs/fleet/src/server_table.cpp
@@ -31,6 +31,7 @@
         row.entry = listed.entry;
         row.leaving = listed.leaving;
         row.processStartMilliseconds = listed.processStartMilliseconds;
+        applyStatements(row);
         m_listed[target.index] = true;
     }
     for (size_t i = 0; i < m_rows.size(); ++i) {
@@ -102,6 +103,40 @@
     m_rows[known->index].peerPendingPromptTokens += pendingPromptTokens;
 }
 
+bool server_table::reportLeaving(server_handle server)
+{
+    server_row& row = m_rows[server.index];
+    const bool isNews = m_statements.recordLeaving(row.entry.id, row.processStartMilliseconds);
+    applyStatements(row);
+    return isNews;
+}
+
+bool server_table::reportNotBefore(server_handle server, time_point notBefore)
+{
+    server_row& row = m_rows[server.index];
+    const bool isNews = m_statements.recordNotBefore(row.entry.id, row.processStartMilliseconds, notBefore);
+    applyStatements(row);
+    return isNews;
+}
+
+void server_table::applyStatements(server_row& row) const
+{
+    row.leaving = row.leaving || m_statements.isLeaving(row.entry.id, row.processStartMilliseconds);
+    row.notBefore = m_statements.notBefore(row.entry.id, row.processStartMilliseconds);
+}
+
+std::optional<time_point> server_table::earliestReturn(const service_name& service) const
+{
+    std::optional<time_point> earliest;
+    for (const server_row& row : m_rows) {
+        if (!row.used || row.leaving || row.entry.service != service)
+            continue;
+        const time_point returns = std::max(row.unavailableUntil, row.notBefore);
+        earliest = earliest ? std::min(*earliest, returns) : returns;
+    }
+    return earliest;
+}
+
 void server_table::reportFailure(server_handle server, time_point now)
 {
     server_row& row = m_rows[server.index];
--- a/libs/relay/include/relay/relay_metrics.h
+++ b/libs/relay/include/relay/relay_metrics.h
@@ -30,6 +30,8 @@
     // A server may have crashed while it ran a request. sign: the symptom, such as a lost connection. verdict: the
     // result of the check.
     void countServerCrash(const std::string& service, const std::string& sign, const std::string& verdict);
+    // statement: "leaving", "pause" or "unreadable".
+    void countServerStatement(const std::string& service, const std::string& statement);
     void observeFirstByte(const std::string& route, const std::string& team, duration latency);
     // Updates the gauges before they are rendered. configurationAge: time since the configuration was last confirmed to
     // be the newest. quarantined: requests that are no longer sent to any server because servers crashed running them.
@@ -46,6 +48,7 @@
     prometheus::Family<prometheus::Counter>& m_permits;
     prometheus::Family<prometheus::Counter>& m_repeats;
     prometheus::Family<prometheus::Counter>& m_serverCrashes;
+    prometheus::Family<prometheus::Counter>& m_serverStatements;
     prometheus::Family<prometheus::Histogram>& m_latency;
     prometheus::Family<prometheus::Histogram>& m_teamLatency;
     prometheus::Gauge& m_configurationAge;
--- a/libs/relay/include/relay/relay_protocol.h
+++ b/libs/relay/include/relay/relay_protocol.h
@@ -65,6 +65,12 @@
     bool rateLimitUnreadable = false;
     // The model's confidence in its answer, 0 to 1.
     std::optional<double> confidence;
+    // The server leaves: this is its last work.
+    bool leaving = false;
+    // The server wants no requests from this daemon for this time.
+    std::optional<duration> pause;
+    // The server states a pause that cannot be read.
+    bool pauseUnreadable = false;
 
     friend bool operator==(const answer_traits&, const answer_traits&) = default;
 };
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -372,6 +372,7 @@
         m_dependencies.servers.forget(m_serverId);
     }
     recordRateLimit(now);
+    recordStatements(now);
     const bool notRun = m_answer.notRun || m_answer.misdirected;
     if (!notRun) {
         m_execution = execution_state::MayHaveRun;
@@ -409,6 +410,30 @@
                 { "named", m_answer.rateLimit.has_value() } });
 }
 
+// A misdirected request was answered by another server than the one that the row stands for.
+void relay_exchange::recordStatements(time_point now)
+{
+    if (m_answer.misdirected)
+        return;
+    server_table& servers = m_dependencies.state.servers();
+    if (m_answer.leaving && servers.reportLeaving(*m_server)) {
+        m_dependencies.metrics.countServerStatement(m_service.text(), "leaving");
+        m_dependencies.log.write(log_level::Info, "server_leaving",
+            { { "server", m_serverId.text() }, { "service", m_service.text() }, { "request", m_traits.id.text() } });
+    }
+    if (m_answer.pauseUnreadable) {
+        m_dependencies.metrics.countServerStatement(m_service.text(), "unreadable");
+        m_dependencies.log.write(log_level::Warning, "server_pause_unreadable",
+            { { "server", m_serverId.text() }, { "request", m_traits.id.text() } });
+    }
+    if (m_answer.pause && servers.reportNotBefore(*m_server, now + *m_answer.pause)) {
+        m_dependencies.metrics.countServerStatement(m_service.text(), "pause");
+        m_dependencies.log.write(log_level::Info, "server_pause",
+            { { "server", m_serverId.text() }, { "service", m_service.text() }, { "request", m_traits.id.text() },
+                { "ms", toMilliseconds(*m_answer.pause) } });
+    }
+}
+
 // Sends the request to the largest model if the current model reports low confidence, nothing of its answer has been
 // forwarded, and the largest model is expected to begin within the latency objective and to finish before the deadline.
 bool relay_exchange::tryEscalation()
@@ -716,13 +741,24 @@
         return;
     }
     if (m_execution == execution_state::NotRun) {
-        refuse(statusUnavailable, reason, std::max(retryAfterFull, m_permitDenied ? m_permitWait : duration(0)));
+        refuse(statusUnavailable, reason,
+            std::max({ retryAfterFull, m_permitDenied ? m_permitWait : duration(0), serverPause() }));
         return;
     }
     const bool late = timeLeft() < minimumTimeLeft;
     refuse(late ? statusGatewayTimeout : statusBadGateway, reason);
 }
 
+duration relay_exchange::serverPause() const
+{
+    if (!m_admission.route)
+        return duration(0);
+    const placement_request placement
+        = makePlacementRequest(m_dependencies, *m_admission.route, m_traits, m_model, m_start);
+    const auto earliest = m_dependencies.state.servers().earliestReturn(placement.service);
+    return earliest ? std::max(*earliest - m_dependencies.time.now(), duration(0)) : duration(0);
+}
+
 void relay_exchange::refuse(int status, const char* type, std::optional<duration> retryAfter)
 {
     const char* run = m_execution == execution_state::NotRun ? "not_run" : "unknown";
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -71,6 +71,10 @@
     void recordAnswerPace();
     // Records the rate limit that the server names in its answer, or that it names none.
     void recordRateLimit(time_point now);
+    // Records what the server says of itself in its answer: that it leaves, or that it wants no requests for a time.
+    void recordStatements(time_point now);
+    // Time until a server of the request's service takes requests again, as far as servers have said.
+    duration serverPause() const;
 
     // Whether the answer that has ended is a stream whose end is missing.
     bool isStreamCut(const exchange_result& result) const;
--- a/libs/relay/src/relay_metrics.cpp
+++ b/libs/relay/src/relay_metrics.cpp
@@ -35,6 +35,10 @@
                           .Name("pollen_relay_server_ends_total")
                           .Help("Servers that may have ended while they ran a request, by what was found out")
                           .Register(m_registry))
+    , m_serverStatements(prometheus::BuildCounter()
+                             .Name("pollen_relay_server_statements_total")
+                             .Help("What servers have said of themselves in answers: that they leave, or pause")
+                             .Register(m_registry))
     , m_latency(prometheus::BuildHistogram()
                     .Name("pollen_relay_first_byte_seconds")
                     .Help("Time to the first byte of an answer")
@@ -96,6 +100,11 @@
     m_serverCrashes.Add({ { "service", service }, { "sign", sign }, { "verdict", verdict } }).Increment();
 }
 
+void relay_metrics::countServerStatement(const std::string& service, const std::string& statement)
+{
+    m_serverStatements.Add({ { "service", service }, { "statement", statement } }).Increment();
+}
+
 void relay_metrics::observeFirstByte(const std::string& route, const std::string& team, duration latency)
 {
     m_teamLatency.Add({ { "team", team } }, latencySeconds).Observe(toSeconds(latency));
