Let no leader without the store decide on roll-outs

Cause: a leader that cannot read the store knows the counts of its own group alone, takes itself for the coordinator once the reports of others are 3.5 s old, and decides for all, on weak evidence.

Change: without the store a leader takes part in roll-outs as a member: it takes the counts of all from the daemon that it asks, and neither accepts nor publishes.

Evidence: ALeaderWithoutTheStoreDoesNotDecideOnRollouts failed before and passes.

--- a/libs/relay/src/fleet_sync.cpp
+++ b/libs/relay/src/fleet_sync.cpp
@@ -109,7 +109,11 @@
 void fleet_sync::noticeStoreLoss(time_point now)
 {
     const bool canRead = !m_isLeader || m_store.isReachable();
-    if (std::exchange(m_couldReadStore, canRead) && !canRead)
+    if (std::exchange(m_couldReadStore, canRead) == canRead)
+        return;
+    // Without the store a leader knows the counts of its own group only, and must not decide for all.
+    m_rollouts.setLeader(m_isLeader && canRead);
+    if (!canRead)
         m_nextRequest = now;
 }
 
@@ -262,7 +266,8 @@
         return;
     m_isLeader = isLeader;
     m_store.setLeader(isLeader);
-    m_rollouts.setLeader(isLeader);
+    m_couldReadStore = !isLeader || m_store.isReachable();
+    m_rollouts.setLeader(isLeader && m_couldReadStore);
     m_crashes.setLeader(isLeader);
 }
 
--- a/libs/relay/tests/fleet_sync_test.cpp
+++ b/libs/relay/tests/fleet_sync_test.cpp
@@ -419,4 +419,33 @@
     EXPECT_EQ(leaders(), (ids { "a1", "b1" }));
 }
 
+// Guards against EXPOSURE: a leader without the store knew the counts of its own group only and decided for all.
+TEST_F(FleetSyncTest, ALeaderWithoutTheStoreDoesNotDecideOnRollouts)
+{
+    write("config", "1");
+    run(std::chrono::seconds(3));
+    const service_name service("s");
+    const version_name target("v2");
+    const version_name old("v1");
+    for (const char* id : { "a1", "b1" })
+        at(id).table.applyOrder({ service, target, std::chrono::seconds(12) }, m_time.now());
+    at("a1").storeReachable = false;
+    at("a1").store.reachable = false;
+    // The decision falls due meanwhile.
+    for (int i = 0; i < 240; ++i) {
+        run(step);
+        for (const char* id : { "a1", "b1" }) {
+            for (int k = 0; k < 20; ++k) {
+                at(id).rollouts.countSent({ service, old, "r" });
+                at(id).rollouts.countAnswer({ service, old, "r" }, true);
+            }
+            at(id).rollouts.countSent({ service, i % 8 == 0 ? target : old, "r" });
+            at(id).rollouts.countAnswer({ service, i % 8 == 0 ? target : old, "r" }, true);
+            at(id).rollouts.tick(m_time.now());
+        }
+    }
+    EXPECT_TRUE(at("a1").store.published.empty());
+    EXPECT_FALSE(at("b1").store.published.empty());
+}
+
 } // namespace pollen
