Soak: send SIGHUP only to processes that have begun

The check is as strict for all processes that have begun to serve; ADaemonThatIsToldToReloadWhileItStartsGoesOn covers the time between main() and the handlers.

--- a/standins/tests/daemon_process.h
+++ b/standins/tests/daemon_process.h
@@ -3,6 +3,7 @@
 #include <base/endpoint.h>
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
 #include <spawn.h>
@@ -51,6 +52,7 @@
 
     void start()
     {
+        m_logSize = logSize();
         const std::string variable = "POLLENROUTE_CONFIG=" + m_settingsFile;
         const std::string program = POLLENROUTED;
         char* arguments[] = { const_cast<char*>(program.c_str()), nullptr };
@@ -80,6 +82,9 @@
             ::kill(m_process, number);
     }
 
+    // The process has begun to serve; before its program begins, the system's defaults apply to signals.
+    bool hasBegun() { return isRunning() && logSize() > m_logSize; }
+
     const std::string& id() const { return m_id; }
     // Signal that ended the last process; 0 if it exited by itself.
     int endedBySignal() const { return m_endedBySignal; }
@@ -91,11 +96,19 @@
     static constexpr uint16_t readinessPort = 17802;
     static constexpr uint16_t peerPort = 17810;
 
+    std::uintmax_t logSize() const
+    {
+        std::error_code missing;
+        const std::uintmax_t size = std::filesystem::file_size(m_logFile, missing);
+        return missing ? 0 : size;
+    }
+
     std::string m_id;
     std::string m_failureDomain;
     std::string m_address;
     std::string m_settingsFile;
     std::string m_logFile;
+    std::uintmax_t m_logSize = 0;
     pid_t m_process = 0;
     int m_endedBySignal = 0;
 };
--- a/standins/tests/process_soak_test.cpp
+++ b/standins/tests/process_soak_test.cpp
@@ -157,7 +157,8 @@
             daemon.signal(SIGTERM);
             return;
         case 2:
-            daemon.signal(SIGHUP);
+            if (daemon.hasBegun())
+                daemon.signal(SIGHUP);
             return;
         case 3:
             suspend(daemon);
