--- a/libs/relay/src/fleet_sync_message.cpp
+++ b/libs/relay/src/fleet_sync_message.cpp
@@ -70,8 +70,8 @@
 
 template <typename Archive> void serialize(Archive& archive, fleet_sync_request& request)
 {
-    archive(request.topics, request.sender, request.isMember, request.acceptsLarge, request.reports, request.work, request.crashes,
-        request.rateLimits);
+    archive(request.topics, request.sender, request.isMember, request.acceptsLarge, request.reports, request.work,
+        request.crashes, request.rateLimits);
 }
 
 template <typename Archive> void serialize(Archive& archive, fleet_sync_reply& reply)
