Pass on a whole body that holds no event, also on a streaming route

The check for cut streams took a body with a length and without any event for a stream that had been cut, and answered 502.

Change: such a body is passed on as before; streams that have begun, or end with their connection, are judged as they were.

--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -587,14 +587,16 @@
     finishAnswer();
 }
 
-// A stream that ends within an event has been broken off, however its end is framed. One without any event was broken
-// off if nothing else tells its end.
+// A stream that ends within an event has been broken off, and one without any event where nothing else tells its end. A
+// whole body that holds no event at all is no stream and is passed on as it is, unless a stream has begun.
 bool relay_exchange::isStreamCut(const exchange_result& result) const
 {
     if (m_discard || !isStreamAnswer())
         return false;
-    const bool isEmpty = m_events.completeEvents() == m_earlierEvents;
-    return !m_events.partialEvent().empty() || (isEmpty && (result.endedWithConnection || !m_streamStarted));
+    const bool hasPartialEvent = !m_events.partialEvent().empty();
+    if (m_events.completeEvents() > m_earlierEvents || m_streamStarted)
+        return hasPartialEvent || (m_events.completeEvents() == m_earlierEvents && result.endedWithConnection);
+    return result.endedWithConnection || !hasPartialEvent;
 }
 
 void relay_exchange::recordAnswerForCrashes()
@@ -633,6 +635,8 @@
 void relay_exchange::finishAnswer()
 {
     if (isStreamAnswer() || m_streamStarted) {
+        if (!m_streamStarted)
+            forwardEvents(m_events.partialEvent());
         m_request->endStream();
         m_paceTimer.stop();
         recordAnswerPace();
