--- a/review/standins/case_1.cpp
+++ b/review/standins/case_1.cpp
@@ -1,8 +1,8 @@
 // A server answers one request with a chunk extension that does not end. The daemon keeps all of it until its memory is
 // used up and the platform kills it; the other callers' requests end without an answer.
 
-#include "../standins/caller_channel.h"
-#include "../standins/deployment.h"
+#include "caller_channel.h"
+#include "deployment.h"
 #include <base/socket_address.h>
 #include <csignal>
 #include <cstdio>
