--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -15,7 +15,7 @@
 constexpr duration readinessInterval = std::chrono::milliseconds(100);
 constexpr uint16_t firstPort = 21000;
 constexpr uint16_t portsOfAProcess = 8;
-constexpr uint16_t processesWithOwnPorts = 4000;
+constexpr uint16_t processesWithOwnPorts = 1400;
 
 // Cases that run side by side use ports of their own.
 uint16_t portOf(uint16_t number)
@@ -42,15 +42,29 @@
     : m_loop(loop)
     , m_record(record)
     , m_store(loop, { "127.0.0.1", 0 })
+    , m_storeAddress(m_store.address())
+    , m_directory(arguments.directory)
     , m_balancer(loop)
     , m_machines(std::move(machines))
     , m_born(wallMilliseconds())
 {
     for (const machine& machine : m_machines) {
-        const std::string file = arguments.directory + "/" + machine.id;
-        std::ofstream(file + ".toml") << settings(machine);
+        const std::string file = m_directory + "/" + machine.id;
         m_daemons.push_back(std::make_unique<daemon_process>(arguments.daemonProgram, file + ".toml", file + ".log"));
     }
+    writeSettings();
+}
+
+void deployment::setStoreAddress(const endpoint& address)
+{
+    m_storeAddress = address;
+    writeSettings();
+}
+
+void deployment::writeSettings()
+{
+    for (const machine& machine : m_machines)
+        std::ofstream(m_directory + "/" + machine.id + ".toml") << settings(machine);
 }
 
 endpoint deployment::callersAddress(size_t index) const { return { m_machines[index].address, callersPort() }; }
@@ -118,7 +132,7 @@
          << "drain-ms = 2000\ngrace-s = 8\nloss-slack-ms = 200\nconfig-apply-ms = 2000\nrollback-slack-ms = 250\n"
          << "strict-revoke = true\nrevoke-ms = 5000\nretry-ratio = 0.9\nretry-window-s = 10\nretry-slack = 52\n"
          << "exposure-share = 0.15\nexposure-slack = 30\nrollback-ms = 5000\nsession-s = 5\n[platform]\naddress = \""
-         << m_store.address().text() << "\"\nform = \"log\"\nwrites-per-s = 400\nreads-per-s = 2000\n";
+         << m_storeAddress.text() << "\"\nform = \"log\"\nwrites-per-s = 400\nreads-per-s = 2000\n";
     return text.str();
 }
 
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -45,6 +45,8 @@
     deployment(event_loop& loop, const case_arguments& arguments, recorder& record, std::vector<machine> machines);
 
     store_standin& store() { return m_store; }
+    // Daemons reach the store at this address instead of its own. To be called before start().
+    void setStoreAddress(const endpoint& address);
     size_t size() const { return m_machines.size(); }
     const machine& machineAt(size_t index) const { return m_machines[index]; }
     daemon_process& daemonAt(size_t index) { return *m_daemons[index]; }
@@ -65,12 +67,15 @@
     void runFor(duration time);
 
 private:
+    void writeSettings();
     std::string settings(const machine& machine) const;
     bool isReady(size_t index);
 
     event_loop& m_loop;
     recorder& m_record;
     store_standin m_store;
+    endpoint m_storeAddress;
+    std::string m_directory;
     http_client m_balancer;
     std::vector<machine> m_machines;
     std::vector<std::unique_ptr<daemon_process>> m_daemons;
