--- a/review/standins/case_1.cpp
+++ b/review/standins/case_1.cpp
@@ -3,16 +3,11 @@
 
 #include "caller_channel.h"
 #include "deployment.h"
-#include <base/socket_address.h>
+#include "endless_server.h"
+#include "order_server.h"
 #include <csignal>
 #include <cstdio>
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/event.h>
-#include <event2/listener.h>
 #include <map>
-#include <random>
-#include <set>
 
 namespace pollen {
 
@@ -20,9 +15,8 @@
 
 constexpr size_t callers = 16;
 constexpr size_t soundServers = 3;
-// Orders differ in their work, so that they are in progress at different times.
-constexpr int leastWorkMilliseconds = 150;
-constexpr int mostWorkMilliseconds = 400;
+constexpr std::chrono::milliseconds leastWork(150);
+constexpr std::chrono::milliseconds mostWork(400);
 constexpr duration timeBeforeTheFault = std::chrono::seconds(4);
 constexpr duration timeAfterTheFault = std::chrono::seconds(9);
 constexpr duration platformCheck = std::chrono::milliseconds(10);
@@ -31,7 +25,6 @@
 constexpr size_t allowedLosses = 3;
 // A daemon's own link, 1000 Mbit/s.
 constexpr size_t linkBytesPerMillisecond = 125000;
-constexpr duration writeInterval = std::chrono::milliseconds(5);
 constexpr size_t bytesPerMegabyte = size_t { 1 } << 20;
 
 const char* const configurationText = R"({"version":1,"routes":[
@@ -45,153 +38,19 @@
 "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
 "tenants":[]})";
 
-// A server whose answers are well-formed up to the extension of their first chunk, which goes on until the daemon
-// closes. Without trouble, the same answer with an ordinary chunk.
-class endless_server {
-public:
-    endless_server(event_loop& loop, recorder& record, bool isEndless)
-        : m_loop(loop)
-        , m_record(record)
-        , m_isEndless(isEndless)
-        , m_block(linkBytesPerMillisecond * static_cast<size_t>(toMilliseconds(writeInterval)), 'x')
-        , m_timer(loop, [this] { sendMore(); })
-    {
-        const auto onAccept = [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
-            static_cast<endless_server*>(self)->accept(socket);
-        };
-        socket_address address = toSocketAddress({ "127.0.0.1", 0 });
-        m_listener = evconnlistener_new_bind(
-            loop.base(), onAccept, this, LEV_OPT_CLOSE_ON_FREE, 64, address.get(), static_cast<int>(address.length));
-        socket_address bound;
-        getsockname(evconnlistener_get_fd(m_listener), bound.get(), &bound.length);
-        m_address = toEndpoint(bound);
-        m_timer.startRepeating(writeInterval);
-    }
-    ~endless_server()
-    {
-        for (bufferevent* channel : m_channels)
-            bufferevent_free(channel);
-        evconnlistener_free(m_listener);
-    }
-    endless_server(const endless_server&) = delete;
-    endless_server& operator=(const endless_server&) = delete;
-
-    const endpoint& address() const { return m_address; }
-
-private:
-    void accept(evutil_socket_t socket)
-    {
-        bufferevent* channel = bufferevent_socket_new(m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
-        const auto onRead = [](bufferevent* from, void* self) { static_cast<endless_server*>(self)->answer(from); };
-        const auto onEnd
-            = [](bufferevent* ended, short, void* self) { static_cast<endless_server*>(self)->remove(ended); };
-        bufferevent_setcb(channel, onRead, nullptr, onEnd, this);
-        bufferevent_enable(channel, EV_READ | EV_WRITE);
-        m_channels.insert(channel);
-    }
-
-    void answer(bufferevent* channel)
-    {
-        evbuffer* input = bufferevent_get_input(channel);
-        const std::string text(reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), evbuffer_get_length(input));
-        if (text.find("\r\n\r\n") == std::string::npos)
-            return;
-        evbuffer_drain(input, text.size());
-        const std::string name = "Pollenroute-Request-Id: ";
-        const size_t start = text.find(name) + name.size();
-        const std::string id = text.substr(start, text.find("\r\n", start) - start);
-        m_record.write("server drafting-1 runs " + id + " and answers "
-            + (m_isEndless ? "with a chunk extension without end" : "one event"));
-        std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nPollenroute-Request-Id: " + id
-            + "\r\nPollenroute-Response-Seal: seal-" + id + "\r\nTransfer-Encoding: chunked\r\n\r\n";
-        head += m_isEndless ? "10;x=" : "10\r\nid: 1\ndata: ok\n\n\r\n0\r\n\r\n";
-        bufferevent_write(channel, head.data(), head.size());
-        if (m_isEndless)
-            m_endless.insert(channel);
-    }
-
-    void sendMore()
-    {
-        // One answer at a time has the whole link.
-        if (m_endless.empty())
-            return;
-        bufferevent* channel = *m_endless.begin();
-        if (evbuffer_get_length(bufferevent_get_output(channel)) == 0)
-            bufferevent_write(channel, m_block.data(), m_block.size());
-    }
-
-    void remove(bufferevent* channel)
-    {
-        if (m_endless.erase(channel) > 0)
-            m_record.write("the daemon has closed the channel to drafting-1");
-        m_channels.erase(channel);
-        bufferevent_free(channel);
-    }
-
-    event_loop& m_loop;
-    recorder& m_record;
-    bool m_isEndless;
-    std::string m_block;
-    timer m_timer;
-    evconnlistener* m_listener = nullptr;
-    endpoint m_address;
-    std::set<bufferevent*> m_channels;
-    std::set<bufferevent*> m_endless;
-};
-
-// A sound server of the order desk.
-class order_server {
-public:
-    order_server(event_loop& loop, recorder& record, std::string id, std::map<std::string, std::string>& runs)
-        : m_loop(loop)
-        , m_record(record)
-        , m_id(std::move(id))
-        , m_runs(runs)
-        , m_server(
-              loop, { "127.0.0.1", 0 }, {}, [this](const std::shared_ptr<server_request>& request) { run(request); })
-    {
-    }
-
-    const endpoint& address() const { return m_server.address(); }
-    const std::string& id() const { return m_id; }
-
-private:
-    void run(const std::shared_ptr<server_request>& request)
-    {
-        const std::string id(findHeader(request->request().headers, "Pollenroute-Request-Id"));
-        m_runs[id] = m_id;
-        m_record.write("server " + m_id + " runs " + id);
-        const auto done = std::make_shared<std::unique_ptr<timer>>();
-        *done = std::make_unique<timer>(m_loop, [this, request, id, done] {
-            request->reply(
-                200, { { "Pollenroute-Request-Id", id }, { "Pollenroute-Response-Seal", "seal-" + id } }, "done-" + id);
-            m_loop.post([done] { done->reset(); });
-        });
-        std::uniform_int_distribution<int> work(leastWorkMilliseconds, mostWorkMilliseconds);
-        (*done)->startOnce(std::chrono::milliseconds(work(m_random)));
-    }
-
-    event_loop& m_loop;
-    recorder& m_record;
-    std::string m_id;
-    std::map<std::string, std::string>& m_runs;
-    std::mt19937 m_random { 1 };
-    http_server m_server;
-};
-
 class endless_answer_case {
 public:
     explicit endless_answer_case(const case_arguments& arguments)
         : m_record(arguments.recordFile)
         , m_deployment(m_loop, arguments, m_record, { { "front-nbi-a-1", "nbi-a", "127.0.0.1" } })
-        , m_endless(m_loop, m_record, arguments.hasTrouble)
+        , m_endless(m_loop, m_record, "drafting-1", "10;x=", arguments.hasTrouble ? "x" : "", linkBytesPerMillisecond)
         , m_platform(m_loop, [this] { checkMemory(); })
     {
         m_deployment.writeConfiguration(configurationText);
         m_deployment.writeServer("drafting-1", "drafting-model", m_endless.address(), "nbi-a", 64);
         for (size_t i = 0; i < soundServers; ++i) {
-            m_servers.push_back(
-                std::make_unique<order_server>(m_loop, m_record, "order-" + std::to_string(i + 1), m_runs));
+            m_servers.push_back(std::make_unique<order_server>(
+                m_loop, m_record, "order-" + std::to_string(i + 1), leastWork, mostWork, m_runs));
             m_deployment.writeServer(m_servers.back()->id(), "order-desk", m_servers.back()->address(), "nbi-a");
         }
     }
--- a/review/standins/case_3.cpp
+++ b/review/standins/case_3.cpp
@@ -35,9 +35,8 @@
 std::string configuration(const std::string& version, const std::string& service)
 {
     std::string text = configurationText;
-    const auto replace = [&](const std::string& what, const std::string& with) {
-        text.replace(text.find(what), what.size(), with);
-    };
+    const auto replace
+        = [&](const std::string& what, const std::string& with) { text.replace(text.find(what), what.size(), with); };
     replace("VERSION", version);
     replace("SERVICE", service);
     return text;
@@ -113,10 +112,10 @@
         const std::string id = "stock-" + std::to_string(caller) + "-" + std::to_string(++m_sent);
         m_sentAt[id] = { caller, wallMilliseconds() };
         m_record.write(id + " sent to " + m_deployment.machineAt(caller).id);
-        m_channels[caller]->send({ "GET", "/stock/7",
-                                     { { "Host", "desk.example" }, { "Pollenroute-Request-Id", id },
-                                         { "Pollenroute-Deadline-Ms", "600" } },
-                                     "" },
+        m_channels[caller]->send(
+            { "GET", "/stock/7",
+                { { "Host", "desk.example" }, { "Pollenroute-Request-Id", id }, { "Pollenroute-Deadline-Ms", "600" } },
+                "" },
             [this, caller, id](const told_answer& answer) {
                 m_record.write(id + " answered " + std::to_string(answer.status));
                 m_waits[caller]->startOnce(callerPause);
--- a/review/standins/silent_proxy.cpp
+++ b/review/standins/silent_proxy.cpp
@@ -113,8 +113,8 @@
     bufferevent_setcb(ended->near, nullptr, nullptr, nullptr, nullptr);
     bufferevent_setcb(ended->far, nullptr, nullptr, nullptr, nullptr);
     m_loop.post([this, ended] {
-        const auto found = std::find_if(
-            m_channels.begin(), m_channels.end(), [&](const auto& open) { return open.get() == ended; });
+        const auto found
+            = std::find_if(m_channels.begin(), m_channels.end(), [&](const auto& open) { return open.get() == ended; });
         if (found != m_channels.end())
             m_channels.erase(found);
     });
