--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -2,9 +2,11 @@
 
 #include <fstream>
 #include <http/http_client.h>
+#include <netinet/in.h>
 #include <optional>
 #include <sstream>
 #include <stdexcept>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace pollen {
@@ -15,12 +17,40 @@
 constexpr duration readinessInterval = std::chrono::milliseconds(100);
 constexpr uint16_t firstPort = 21000;
 constexpr uint16_t portsOfAProcess = 8;
+// Below the ports that the system gives out itself.
 constexpr uint16_t processesWithOwnPorts = 1400;
 
-// Cases that run side by side use ports of their own.
+bool isFree(uint16_t port)
+{
+    const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_ANY);
+    const bool isBound = ::bind(probe, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    ::close(probe);
+    return isBound;
+}
+
+// The first of the ports of this process. Cases that run side by side use ports of their own.
+uint16_t findFirstPort()
+{
+    for (uint16_t i = 0; i < processesWithOwnPorts; ++i) {
+        const auto number = static_cast<uint16_t>((::getpid() + i) % processesWithOwnPorts);
+        const auto first = static_cast<uint16_t>(firstPort + number * portsOfAProcess);
+        uint16_t freePorts = 0;
+        while (freePorts < portsOfAProcess && isFree(static_cast<uint16_t>(first + freePorts)))
+            ++freePorts;
+        if (freePorts == portsOfAProcess)
+            return first;
+    }
+    throw std::runtime_error("no free ports");
+}
+
 uint16_t portOf(uint16_t number)
 {
-    return static_cast<uint16_t>(firstPort + ::getpid() % processesWithOwnPorts * portsOfAProcess + number);
+    static const uint16_t first = findFirstPort();
+    return static_cast<uint16_t>(first + number);
 }
 
 uint16_t callersPort() { return portOf(0); }
