Bound the framing of chunked bodies

A caller could do worse without a key: once its unfinished chunk line had reached the read limit, libevent called the read callback again and again, and the loop served nobody else.

Cause: Beast bounds the head and its listener the body. The line before a chunk and the trailers are neither; the parser left them in the input buffer until they were complete.

Change: the parser refuses more than maximumFramingBytes (8 KiB) of a chunk line or of trailers, for requests and responses alike, so that all clients (servers, store, probes) and the server share the bound. Callers get a 400.

Evidence: EndlessResponseTest passed for the wrong reason. Its server sent repeated bytes before the prefix, because a bufferevent reports an empty output as soon as writing is enabled, and all cases ended as malformed. It now sends the prefix first and has five more cases.

--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -47,6 +47,8 @@
         return { 431, "header_too_large" };
     case parse_state::BodyTooLarge:
         return { 413, "body_too_large" };
+    case parse_state::FramingTooLarge:
+        return { 400, "framing_too_large" };
     default:
         return { 400, "malformed_request" };
     }
--- a/libs/http/src/message_parser.cpp
+++ b/libs/http/src/message_parser.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+// Beast has no error for framing that is too large. Its parser does not raise this one.
+constexpr http::error framingLimit = http::error::buffer_overflow;
+// Bytes of a field line beside its name and value.
+constexpr size_t fieldLineBytes = 4;
+
 bool isChunkedOnly(boost::beast::string_view value)
 {
     constexpr std::string_view chunked = "chunked";
@@ -33,9 +38,16 @@
         return parse_state::HeaderTooLarge;
     if (problem == http::error::body_limit)
         return parse_state::BodyTooLarge;
+    if (problem == framingLimit)
+        return parse_state::FramingTooLarge;
     return parse_state::Malformed;
 }
 
+template <bool IsRequest> bool message_parser<IsRequest>::framingTooLarge(size_t unparsedBytes) const
+{
+    return m_headComplete && unparsedBytes > maximumFramingBytes;
+}
+
 template <bool IsRequest> parse_state message_parser<IsRequest>::feed(evbuffer* input)
 {
     while (!this->is_done()) {
@@ -49,7 +61,7 @@
         if (m_stopped)
             return parse_state::NeedsMore;
         if (problem == http::error::need_more)
-            return parse_state::NeedsMore;
+            return framingTooLarge(length - used) ? parse_state::FramingTooLarge : parse_state::NeedsMore;
         if (problem)
             return toState(problem);
     }
@@ -89,8 +101,12 @@
 {
     problem = {};
     // Trailers are ignored: they must not override the headers.
-    if (m_headComplete)
+    if (m_headComplete) {
+        m_trailerBytes += name.size() + value.size() + fieldLineBytes;
+        if (m_trailerBytes > maximumFramingBytes)
+            problem = framingLimit;
         return;
+    }
     if (field == http::field::transfer_encoding && !isChunkedOnly(value)) {
         problem = http::error::bad_transfer_encoding;
         return;
@@ -123,9 +139,11 @@
 }
 
 template <bool IsRequest>
-void message_parser<IsRequest>::on_chunk_header_impl(std::uint64_t, string_view, error_code& problem)
+void message_parser<IsRequest>::on_chunk_header_impl(std::uint64_t, string_view extensions, error_code& problem)
 {
     problem = {};
+    if (extensions.size() > maximumFramingBytes)
+        problem = framingLimit;
 }
 
 template <bool IsRequest>
--- a/libs/http/src/message_parser.h
+++ b/libs/http/src/message_parser.h
@@ -22,8 +22,14 @@
     Malformed,
     HeaderTooLarge,
     BodyTooLarge,
+    FramingTooLarge,
 };
 
+// Limit for the framing of a chunked body: the line before one chunk, and all trailers together. Neither is part of the
+// head or of the body, so that no other limit covers them. A connection holds no more than this unparsed once the head
+// is complete, which also bounds the bytes that are searched again when more arrive.
+constexpr size_t maximumFramingBytes = 8U << 10;
+
 // Incremental parser for one HTTP/1.1 message, based on Boost.Beast. Rejects messages with ambiguous framing (two
 // lengths, both a length and chunks, a transfer coding other than chunked), which would allow request smuggling.
 template <bool IsRequest> class message_parser final : private boost::beast::http::basic_parser<IsRequest> {
@@ -68,6 +74,8 @@
     void on_finish_impl(error_code& problem) override;
 
     parse_state toState(const error_code& problem) const;
+    // Whether the line of a chunk, or the trailers, have grown beyond the limit before they are complete.
+    bool framingTooLarge(size_t unparsedBytes) const;
 
     message_listener& m_listener;
     int m_status = 0;
@@ -75,6 +83,7 @@
     std::string m_target;
     http_headers m_headers;
     bool m_headComplete = false;
+    size_t m_trailerBytes = 0;
     bool m_stopped = false;
 };
 
--- /dev/null
+++ b/libs/http/tests/endless_request_test.cpp
@@ -0,0 +1,102 @@
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <gtest/gtest.h>
+#include <http/http_server.h>
+#include <netinet/in.h>
+
+namespace pollen {
+
+namespace {
+
+constexpr duration testTimeout = std::chrono::seconds(5);
+// Bound for the socket buffers of a connection plus what the server reads before it refuses.
+constexpr size_t maximumSentBytes = 16U << 20;
+constexpr size_t blockBytes = 16U << 10;
+
+// Sends a prefix and then the same bytes again and again until the server closes the connection.
+class endless_caller {
+public:
+    endless_caller(event_loop& loop, const endpoint& server, const std::string& prefix, const std::string& repeated)
+        : m_connection(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE))
+    {
+        while (m_repeated.size() < blockBytes)
+            m_repeated += repeated;
+        const auto onRead = [](bufferevent* from, void* self) {
+            evbuffer* input = bufferevent_get_input(from);
+            std::string bytes(evbuffer_get_length(input), 0);
+            evbuffer_remove(input, bytes.data(), bytes.size());
+            static_cast<endless_caller*>(self)->m_answer += bytes;
+        };
+        const auto onSent = [](bufferevent* to, void* self) {
+            auto* caller = static_cast<endless_caller*>(self);
+            caller->m_sent += caller->m_repeated.size();
+            bufferevent_write(to, caller->m_repeated.data(), caller->m_repeated.size());
+        };
+        const auto onEvent = [](bufferevent*, short what, void* self) {
+            static_cast<endless_caller*>(self)->m_closed |= (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0;
+        };
+        bufferevent_setcb(m_connection, onRead, onSent, onEvent, this);
+        bufferevent_write(m_connection, prefix.data(), prefix.size());
+        bufferevent_enable(m_connection, EV_READ | EV_WRITE);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(server.port);
+        bufferevent_socket_connect(m_connection, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    }
+    ~endless_caller() { bufferevent_free(m_connection); }
+    endless_caller(const endless_caller&) = delete;
+    endless_caller& operator=(const endless_caller&) = delete;
+
+    bool closed() const { return m_closed; }
+    size_t sentBytes() const { return m_sent; }
+    const std::string& answer() const { return m_answer; }
+
+private:
+    bufferevent* m_connection;
+    std::string m_repeated;
+    std::string m_answer;
+    size_t m_sent = 0;
+    bool m_closed = false;
+};
+
+} // namespace
+
+// Guards against a caller whose chunk line or trailers do not end: the connection was kept open, and once the input had
+// reached its limit the loop turned without a pause and served nobody else.
+TEST(EndlessRequestTest, UnboundedRequestsAreRefused)
+{
+    struct request {
+        const char* what;
+        const char* prefix;
+        const char* repeated;
+        const char* status;
+    };
+    const std::vector<request> cases {
+        { "a request line", "GET /", "x", "431" },
+        { "headers", "GET / HTTP/1.1\r\n", "X: x\r\n", "431" },
+        { "a chunk extension", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x", "400" },
+        { "the extension of a later chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n4;", "x",
+            "400" },
+        { "the size of a chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0", "0", "400" },
+        { "trailers", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: x\r\n", "400" },
+        { "a trailer", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ", "x", "400" },
+        { "chunks", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n", "413" },
+    };
+    for (const request& given : cases) {
+        event_loop loop;
+        http_server_limits limits;
+        limits.maximumBodyBytes = blockBytes;
+        http_server server(loop, { "127.0.0.1", 0 }, limits,
+            [](const std::shared_ptr<server_request>& request) { request->reply(200, {}, ""); });
+        endless_caller caller(loop, server.address(), given.prefix, given.repeated);
+        EXPECT_TRUE(loop.runUntil([&] { return caller.closed(); }, testTimeout)) << given.what;
+        EXPECT_TRUE(caller.answer().starts_with(std::string("HTTP/1.1 ") + given.status))
+            << given.what << ": " << caller.answer();
+        EXPECT_LE(caller.sentBytes(), maximumSentBytes) << given.what;
+        EXPECT_TRUE(loop.runUntil([&] { return server.openConnections() == 0; }, testTimeout)) << given.what;
+    }
+}
+
+} // namespace pollen
--- a/libs/http/tests/endless_response_test.cpp
+++ b/libs/http/tests/endless_response_test.cpp
@@ -57,14 +57,17 @@
         const auto onSent = [](bufferevent* to, void* self) { static_cast<endless_server*>(self)->sendRepeated(to); };
         const auto onEnd = [](bufferevent* ended, short, void*) { bufferevent_disable(ended, EV_READ | EV_WRITE); };
         bufferevent_setcb(connection, onRead, onSent, onEnd, this);
-        bufferevent_enable(connection, EV_READ | EV_WRITE);
+        bufferevent_enable(connection, EV_READ);
     }
 
+    // Writing is enabled only now, because a bufferevent reports an empty output once writing is enabled, and the
+    // repeated bytes would go first.
     void sendPrefix(bufferevent* connection)
     {
         evbuffer* input = bufferevent_get_input(connection);
         evbuffer_drain(input, evbuffer_get_length(input));
         bufferevent_write(connection, m_prefix.data(), m_prefix.size());
+        bufferevent_enable(connection, EV_WRITE);
     }
 
     void sendRepeated(bufferevent* connection)
@@ -83,8 +86,8 @@
 
 } // namespace
 
-// Guards against unbounded heads and bodies, which the client used to read until the deadline or buffer until the
-// process ran out of memory.
+// Guards against unbounded heads, bodies, chunk lines and trailers, which the client used to read until the deadline or
+// buffer until the process ran out of memory.
 TEST(EndlessResponseTest, UnboundedResponsesAreAborted)
 {
     struct response {
@@ -104,7 +107,14 @@
         { "chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n" },
         { "the size of a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0" },
         { "a chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x" },
+        { "the extension of a later chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nxxxx\r\n4;",
+            "x" },
+        { "the extension of the last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0;", "x" },
+        { "a chunk extension of a rejection", "HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x" },
         { "trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: x\r\n" },
+        { "a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ", "x" },
+        { "trailers of a response to another",
+            "HTTP/1.1 200 OK\r\nEcho: other\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: x\r\n" },
         { "responses to others", "HTTP/1.1 200 OK\r\nEcho: other\r\nContent-Length: 1\r\n\r\nx",
             "HTTP/1.1 200 OK\r\nEcho: other\r\nContent-Length: 1\r\n\r\nx" },
         { "the body of a response to another", "HTTP/1.1 200 OK\r\nEcho: other\r\n\r\n", "x" },
