Stop reading from a caller whose input is not wanted yet

What callers saw: a caller that sent more than 64 KB behind a request in progress, on one connection and without a key, kept the loop of a daemon busy with itself; other connections and timers were not reached any more.

Cause: at the read limit of a bufferevent, libevent runs the read callback again as long as the input is not consumed. The server does not consume what follows a request in progress. Besides, tasks that post tasks, and deferred callbacks, ran before the loop looked at its sockets and timers again.

Change: the server stops reading itself at the limit. EV_CLOSED then tells of a caller that disconnects. One request is dispatched in a turn, and the loop looks at sockets and timers after 64 callbacks. runUntil() keeps its time limit while callbacks make each other active.

A caller that leaves while its own bytes are still on the way behind a closed window cannot be seen by any means of TCP; it is noticed with the next write.

--- a/libs/http/src/event_loop.cpp
+++ b/libs/http/src/event_loop.cpp
@@ -15,11 +15,16 @@
     return { static_cast<time_t>(seconds.count()), static_cast<suseconds_t>((span - seconds).count()) };
 }
 
+// Callbacks that run before sockets and timers are looked at again. Tasks that post further tasks would otherwise keep
+// the loop from them.
+constexpr int maximumCallbacksPerPoll = 64;
+
 // The change list batches epoll updates until the loop waits, because most of them cancel each other out by then.
 event_base* newBase()
 {
     event_config* config = event_config_new();
     event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+    event_config_set_max_dispatch_interval(config, nullptr, maximumCallbacksPerPoll, 0);
     event_base* base = event_base_new_with_config(config);
     event_config_free(config);
     return base;
@@ -54,7 +59,11 @@
 bool event_loop::runUntil(const std::function<bool()>& done, duration timeout)
 {
     bool expired = false;
-    timer limit(*this, [&] { expired = true; });
+    // A turn of the loop does not end by itself while callbacks make each other active.
+    timer limit(*this, [&] {
+        expired = true;
+        stop();
+    });
     limit.startOnce(timeout);
     while (!expired && !done())
         event_base_loop(m_base, EVLOOP_ONCE);
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -25,7 +25,7 @@
 // callers dropped would retry only after a second.
 constexpr int listenBacklog = 4096;
 
-// Limit for buffered bytes of pipelined requests while the preceding request is processed.
+// Reading stops while this much is buffered behind a request that is being processed.
 constexpr size_t readAheadBytes = 64U << 10;
 
 // How long received bytes are discarded before the connection is closed. Closing with unread bytes would send a reset,
@@ -168,6 +168,9 @@
         , m_bufferEvent(bufferevent_socket_new(m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE))
         , m_timer(m_loop, [this] { onTimeout(); })
     {
+        const auto onClosed
+            = [](evutil_socket_t, short, void* self) { static_cast<connection*>(self)->onCallerDisconnected(); };
+        m_disconnectEvent = event_new(m_loop.base(), socket, EV_CLOSED, onClosed, this);
         const int enabled = 1;
         setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
         const auto onRead = [](bufferevent*, void* self) { static_cast<connection*>(self)->process(); };
@@ -177,12 +180,12 @@
                 static_cast<connection*>(self)->onCallerDisconnected();
         };
         bufferevent_setcb(m_bufferEvent, onRead, onWritten, onEvent, this);
-        bufferevent_setwatermark(m_bufferEvent, EV_READ, 0, readAheadBytes);
         bufferevent_enable(m_bufferEvent, EV_READ | EV_WRITE);
         m_timer.startOnce(server->limits.idleTimeout);
     }
     ~connection() override
     {
+        event_free(m_disconnectEvent);
         if (m_bufferEvent)
             bufferevent_free(m_bufferEvent);
     }
@@ -243,6 +246,7 @@
             m_parser->stop();
         bufferevent_setcb(m_bufferEvent, nullptr, nullptr, nullptr, nullptr);
         bufferevent_disable(m_bufferEvent, EV_READ | EV_WRITE);
+        event_del(m_disconnectEvent);
         detachRequest();
         const auto self = shared_from_this();
         if (const auto server = m_server.lock())
@@ -251,27 +255,44 @@
     }
 
 private:
-    // Parses and dispatches the requests in the input buffer until one waits for its response.
+    // Parses the input and dispatches at most one request. Those behind it follow in later turns of the event loop, so
+    // that a caller that pipelines does not keep others waiting.
     void process()
     {
         const auto self = shared_from_this();
-        while (!m_closed && !m_busy) {
-            evbuffer* input = bufferevent_get_input(m_bufferEvent);
-            if (m_finishing) {
-                evbuffer_drain(input, evbuffer_get_length(input));
-                return;
-            }
-            if (evbuffer_get_length(input) == 0 || !readRequest(input))
-                return;
+        if (m_closed)
+            return;
+        evbuffer* input = bufferevent_get_input(m_bufferEvent);
+        if (m_finishing)
+            evbuffer_drain(input, evbuffer_get_length(input));
+        else if (!m_busy && evbuffer_get_length(input) > 0)
+            readRequest(input);
+        limitReadAhead();
+    }
+
+    // Stops reading while too much is buffered behind the current request. A caller that disconnects meanwhile shows
+    // only on the socket itself.
+    void limitReadAhead()
+    {
+        if (m_closed)
+            return;
+        const bool isFull = m_busy && evbuffer_get_length(bufferevent_get_input(m_bufferEvent)) >= readAheadBytes;
+        if (std::exchange(m_readingStopped, isFull) == isFull)
+            return;
+        if (isFull) {
+            bufferevent_disable(m_bufferEvent, EV_READ);
+            event_add(m_disconnectEvent, nullptr);
+        } else {
+            event_del(m_disconnectEvent);
+            bufferevent_enable(m_bufferEvent, EV_READ);
         }
     }
 
-    // Returns false when more bytes are needed or the connection is being closed.
-    bool readRequest(evbuffer* input)
+    void readRequest(evbuffer* input)
     {
         const auto server = m_server.lock();
         if (!server)
-            return false;
+            return;
         if (!m_parser) {
             m_body.clear();
             m_idleTimeout = server->limits.idleTimeout;
@@ -283,11 +304,11 @@
         if (state == parse_state::NeedsMore) {
             if (m_parser->headComplete())
                 m_timer.startOnce(m_idleTimeout);
-            return false;
+            return;
         }
         if (state != parse_state::Complete) {
             refuse(toRefusal(state));
-            return false;
+            return;
         }
         m_timer.stop();
         m_method = m_parser->method();
@@ -301,7 +322,6 @@
         m_busy = true;
         m_current = current;
         server->handler(current);
-        return true;
     }
 
     void onMessageHead() override
@@ -343,6 +363,7 @@
     void completeResponse()
     {
         detachRequest();
+        limitReadAhead();
         const auto server = m_server.lock();
         if (!server || server->closing)
             m_keepAlive = false;
@@ -354,7 +375,6 @@
             return;
         }
         m_timer.startOnce(m_idleTimeout);
-        // Pipelined requests are processed from the event loop rather than from within the handler.
         if (evbuffer_get_length(bufferevent_get_input(m_bufferEvent)) > 0)
             m_loop.post([self = shared_from_this()] { self->process(); });
     }
@@ -411,6 +431,9 @@
     event_loop& m_loop;
     std::string m_callerAddress;
     bufferevent* m_bufferEvent;
+    // Tells of a caller that disconnects while reading is stopped.
+    event* m_disconnectEvent = nullptr;
+    bool m_readingStopped = false;
     timer m_timer;
     std::optional<request_parser> m_parser;
     std::string m_body;
--- a/libs/http/tests/endless_request_test.cpp
+++ b/libs/http/tests/endless_request_test.cpp
@@ -14,13 +14,13 @@
 constexpr size_t maximumSentBytes = 16U << 20;
 constexpr size_t blockBytes = 16U << 10;
 
-// Sends a prefix and then the same bytes again and again until the server closes the connection.
+// Sends a prefix and then the same bytes, if any, again and again until the server closes the connection.
 class endless_caller {
 public:
     endless_caller(event_loop& loop, const endpoint& server, const std::string& prefix, const std::string& repeated)
         : m_connection(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE))
     {
-        while (m_repeated.size() < blockBytes)
+        while (!repeated.empty() && m_repeated.size() < blockBytes)
             m_repeated += repeated;
         const auto onRead = [](bufferevent* from, void* self) {
             evbuffer* input = bufferevent_get_input(from);
@@ -99,4 +99,90 @@
     }
 }
 
+// Guards against a caller that floods its connection while its request is processed: libevent called the read callback
+// again and again at the read limit, and the loop reached neither other connections nor its timers.
+TEST(EndlessRequestTest, AFloodBehindAPendingRequestLeavesTheLoopIdle)
+{
+    constexpr int maximumTurns = 100;
+    event_loop loop;
+    std::shared_ptr<server_request> pending;
+    http_server server(
+        loop, { "127.0.0.1", 0 }, {}, [&](const std::shared_ptr<server_request>& request) { pending = request; });
+    const std::string request = "GET / HTTP/1.1\r\n\r\n";
+    auto caller = std::make_unique<endless_caller>(loop, server.address(), request, request);
+    loop.runUntil([] { return false; }, std::chrono::milliseconds(200));
+    ASSERT_TRUE(pending);
+    EXPECT_LE(caller->sentBytes(), maximumSentBytes);
+    int turns = 0;
+    loop.runUntil(
+        [&] {
+            ++turns;
+            return false;
+        },
+        std::chrono::milliseconds(200));
+    EXPECT_LE(turns, maximumTurns);
+}
+
+// Guards against a caller that is not seen to leave because reading is stopped: its request went on at a server.
+TEST(EndlessRequestTest, ACallerThatLeavesIsNoticedWhileReadingIsStopped)
+{
+    event_loop loop;
+    std::shared_ptr<server_request> pending;
+    bool hungUp = false;
+    http_server server(loop, { "127.0.0.1", 0 }, {}, [&](const std::shared_ptr<server_request>& request) {
+        pending = request;
+        pending->setHangUpCallback([&] { hungUp = true; });
+    });
+    std::string requests;
+    while (requests.size() < 6 * blockBytes)
+        requests += "GET / HTTP/1.1\r\n\r\n";
+    auto caller = std::make_unique<endless_caller>(loop, server.address(), requests, "");
+    loop.runUntil([] { return false; }, std::chrono::milliseconds(100));
+    ASSERT_TRUE(pending);
+    EXPECT_FALSE(hungUp);
+    caller.reset();
+    EXPECT_TRUE(loop.runUntil([&] { return hungUp; }, testTimeout));
+}
+
+// Guards against the loss of requests whose bytes were held back behind the one before.
+TEST(EndlessRequestTest, RequestsBehindALongOneAreAnsweredInTurn)
+{
+    constexpr int requests = 50;
+    event_loop loop;
+    int answered = 0;
+    std::shared_ptr<server_request> pending;
+    http_server server(loop, { "127.0.0.1", 0 }, {}, [&](const std::shared_ptr<server_request>& request) {
+        if (++answered == 1)
+            pending = request;
+        else
+            request->reply(200, {}, "");
+    });
+    const std::string body(blockBytes, 'x');
+    const std::string request = "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    std::string all;
+    for (int i = 0; i < requests; ++i)
+        all += request;
+    endless_caller caller(loop, server.address(), all, "\r\n");
+    loop.runUntil([] { return false; }, std::chrono::milliseconds(100));
+    ASSERT_EQ(answered, 1);
+    pending->reply(200, {}, "");
+    EXPECT_TRUE(loop.runUntil([&] { return answered == requests; }, testTimeout)) << answered;
+}
+
+// Guards against tasks that post further tasks and keep the loop from its timers.
+TEST(EventLoopTest, TasksThatPostTasksLeaveTheTimersRunning)
+{
+    event_loop loop;
+    bool fired = false;
+    std::function<void()> again = [&] { loop.post(again); };
+    timer later(loop, [&] {
+        fired = true;
+        loop.stop();
+    });
+    later.startOnce(std::chrono::milliseconds(10));
+    loop.post(again);
+    EXPECT_TRUE(loop.runUntil([&] { return fired; }, testTimeout));
+    again = [] {};
+}
+
 } // namespace pollen
