Restart the time-outs of a caller's connection by progress only

What callers saw: connections that nobody could end. A byte of framing every now and then, or a stream whose caller had stopped reading, started the idle time-out anew each time, with whatever memory the connection held.

Cause: the read callback started the time-out anew whether or not bytes of the body had come, and sendPart() did so for bytes that only the handler had produced.

Change: a request makes progress by its head and by bytes of its body, an answer by bytes that the socket takes.

Evidence: FramingIsNoProgressOfARequest and PartsOfAnAnswerAreNoProgressOfItsCaller were not closed within 5 s at an idle time-out of 0.3 s; they are now, after 0.30 and 0.36 s. ABodyThatArrivesByteByByteIsAwaited passes before and after.

--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -180,6 +180,11 @@
                 static_cast<connection*>(self)->onCallerDisconnected();
         };
         bufferevent_setcb(m_bufferEvent, onRead, onWritten, onEvent, this);
+        const auto onOutput = [](evbuffer*, const evbuffer_cb_info* info, void* self) {
+            if (info->n_deleted > 0)
+                static_cast<connection*>(self)->onSendProgress();
+        };
+        evbuffer_add_cb(bufferevent_get_output(m_bufferEvent), onOutput, this);
         bufferevent_enable(m_bufferEvent, EV_READ | EV_WRITE);
         m_timer.startOnce(server->limits.idleTimeout);
     }
@@ -218,10 +223,12 @@
         if (m_closed || bytes.empty() || m_method == "HEAD")
             return;
         evbuffer* output = bufferevent_get_output(m_bufferEvent);
+        const bool wasDrained = unsentBytes() == 0;
         evbuffer_add_printf(output, "%zx\r\n", bytes.size());
         evbuffer_add(output, bytes.data(), bytes.size());
         evbuffer_add(output, "\r\n", 2);
-        m_timer.startOnce(m_server.expired() ? lingerTimeout : m_idleTimeout);
+        if (wasDrained)
+            startSendTimer();
         writeImmediately(m_bufferEvent);
     }
 
@@ -300,9 +307,12 @@
                 server->limits.maximumBodyBytes);
             m_timer.startOnce(server->limits.headerTimeout);
         }
+        const bool hadHead = m_parser->headComplete();
+        const size_t bodyBytes = m_body.size();
         const parse_state state = m_parser->feed(input);
         if (state == parse_state::NeedsMore) {
-            if (m_parser->headComplete())
+            // Only the head and bytes of the body count as progress, framing does not.
+            if (m_parser->headComplete() && (!hadHead || m_body.size() > bodyBytes))
                 m_timer.startOnce(m_idleTimeout);
             return;
         }
@@ -392,6 +402,15 @@
         m_current.reset();
     }
 
+    void startSendTimer() { m_timer.startOnce(m_server.expired() ? lingerTimeout : m_idleTimeout); }
+
+    // The socket has taken bytes. What the handler adds to the output is no progress of the caller's.
+    void onSendProgress()
+    {
+        if (!m_closed && !m_lingering && unsentBytes() > 0)
+            startSendTimer();
+    }
+
     void onDrained()
     {
         const auto self = shared_from_this();
