Bound what a daemon takes in from other daemons

Whoever reaches the port for other daemons could make one hold 4 MB for each of 128 connections before the tag of a frame was checked, any number of bytes behind a request, and a connection for good by a byte each two seconds. A message of ten bytes could claim millions of elements, which cereal allocated before it read the first.

Change: a request has a limit of its own (512 KiB), nothing may follow a frame, all frames in progress share 16 MiB, and a connection ends after 8 s whatever its peer sends. Messages are decoded by an archive that accepts no number of elements above that of the bytes that follow; it reads the format as before.

--- a/libs/peer/src/state_frame.cpp
+++ b/libs/peer/src/state_frame.cpp
@@ -73,12 +73,12 @@
     return encodeLength(body.size()) + hmacSha256Hex(secret, body) + body;
 }
 
-std::optional<state_frame> extractStateFrame(std::string& received, std::string_view secret)
+std::optional<state_frame> extractStateFrame(std::string& received, std::string_view secret, size_t maximumBytes)
 {
     if (received.size() < lengthFieldBytes)
         return std::nullopt;
     const size_t length = decodeLength(received.substr(0, lengthFieldBytes));
-    if (length > maximumStateBytes)
+    if (length > maximumBytes)
         throw datagram_error("frame exceeds the maximum size");
     if (received.size() < headerBytes + length)
         return std::nullopt;
--- a/libs/peer/src/tcp_state_exchange.cpp
+++ b/libs/peer/src/tcp_state_exchange.cpp
@@ -17,6 +17,10 @@
 constexpr size_t maximumConnections = 128;
 // Maximum idle time of a connection in either direction.
 constexpr time_t idleTimeoutSeconds = 2;
+// A connection carries one request and one reply. A peer that sends or takes them in small pieces gains no more time.
+constexpr duration maximumLifetime = std::chrono::seconds(8);
+// Limit for the frames that are being received or sent, over all connections.
+constexpr size_t maximumHeldBytes = 16U << 20;
 
 } // namespace
 
@@ -36,6 +40,8 @@
     evconnlistener* listener = nullptr;
     state_source source = [](const std::string&) { return std::string(); };
     std::map<connection*, std::unique_ptr<connection>> connections;
+    // Bytes of the frames that are being received or sent.
+    size_t heldBytes = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     // Destroys a connection from the loop, as the call may come from the connection's own callback.
@@ -56,7 +62,9 @@
         : m_owner(owner)
         , m_events(events)
         , m_callback(std::move(callback))
+        , m_lifetime(owner.loop, [this] { finish(std::nullopt); })
     {
+        m_lifetime.startOnce(maximumLifetime);
         const timeval idle { idleTimeoutSeconds, 0 };
         bufferevent_set_timeouts(m_events, &idle, &idle);
         const auto onRead = [](bufferevent*, void* self) { static_cast<connection*>(self)->receive(); };
@@ -65,10 +73,16 @@
                 static_cast<connection*>(self)->finish(std::nullopt);
         };
         bufferevent_setcb(m_events, onRead, nullptr, onEvent, this);
+        m_outputCallback = evbuffer_add_cb(bufferevent_get_output(m_events), onOutput, this);
         bufferevent_enable(m_events, EV_READ | EV_WRITE);
     }
 
-    ~connection() { bufferevent_free(m_events); }
+    ~connection()
+    {
+        evbuffer_remove_cb_entry(bufferevent_get_output(m_events), m_outputCallback);
+        m_owner.heldBytes -= m_heldBytes;
+        bufferevent_free(m_events);
+    }
     connection(const connection&) = delete;
     connection& operator=(const connection&) = delete;
 
@@ -79,15 +93,44 @@
     }
 
 private:
+    bool isServer() const { return !m_callback; }
+
+    static void onOutput(evbuffer*, const evbuffer_cb_info*, void* self)
+    {
+        static_cast<connection*>(self)->updateHeldBytes();
+    }
+
+    void updateHeldBytes()
+    {
+        const size_t held = m_received.size() + evbuffer_get_length(bufferevent_get_output(m_events));
+        m_owner.heldBytes += held - m_heldBytes;
+        m_heldBytes = held;
+    }
+
+    void checkHeldBytes(size_t additional) const
+    {
+        if (m_owner.heldBytes + additional > maximumHeldBytes)
+            throw datagram_error("too many bytes are held for all peers");
+    }
+
     void receive()
     {
         evbuffer* input = bufferevent_get_input(m_events);
         const size_t before = m_received.size();
         m_received.resize(before + evbuffer_get_length(input));
         evbuffer_remove(input, m_received.data() + before, m_received.size() - before);
+        updateHeldBytes();
         try {
-            if (const auto frame = extractStateFrame(m_received, m_owner.secret))
-                handle(*frame);
+            if (m_hasFrame)
+                throw datagram_error("bytes follow the frame");
+            checkHeldBytes(0);
+            const size_t maximumBytes = isServer() ? maximumStateRequestBytes : maximumStateBytes;
+            const auto frame = extractStateFrame(m_received, m_owner.secret, maximumBytes);
+            if (!frame)
+                return;
+            m_hasFrame = true;
+            updateHeldBytes();
+            handle(*frame);
         } catch (const datagram_error& problem) {
             m_owner.log.write(log_level::Warning, "state_exchange_refused", { { "detail", problem.what() } });
             finish(std::nullopt);
@@ -96,13 +139,15 @@
 
     void handle(const state_frame& frame)
     {
-        const bool isServer = !m_callback;
-        if (isServer != frame.isRequest)
+        if (isServer() != frame.isRequest)
             throw datagram_error("unexpected frame: request instead of reply, or reply instead of request");
-        if (isServer)
-            send({ false, m_owner.source(frame.state) });
-        else
+        if (!isServer()) {
             finish(frame.state.empty() ? std::nullopt : std::optional(frame.state));
+            return;
+        }
+        const state_frame reply { false, m_owner.source(frame.state) };
+        checkHeldBytes(reply.state.size());
+        send(reply);
     }
 
     void finish(const std::optional<std::string>& state)
@@ -118,8 +163,13 @@
 
     details& m_owner;
     bufferevent* m_events;
+    evbuffer_cb_entry* m_outputCallback;
     state_callback m_callback;
+    timer m_lifetime;
     std::string m_received;
+    size_t m_heldBytes = 0;
+    // The frame of the peer has been received; nothing may follow it.
+    bool m_hasFrame = false;
     bool m_finished = false;
 };
 
--- a/libs/relay/src/message_codec.h
+++ b/libs/relay/src/message_codec.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "message_input.h"
+
 #include <base/typed_id.h>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/chrono.hpp>
@@ -41,18 +43,12 @@
 template <typename Message, typename Failure> Message decodeMessage(const std::string& bytes)
 {
     try {
-        std::istringstream stream(bytes);
-        cereal::PortableBinaryInputArchive archive(stream);
+        message_input archive(bytes);
         Message message;
         archive(message);
         return message;
     } catch (const cereal::Exception& problem) {
         throw Failure(problem.what());
-    } catch (const std::length_error& problem) {
-        // A length beyond what a string or vector can hold.
-        throw Failure(problem.what());
-    } catch (const std::bad_alloc& problem) {
-        throw Failure(problem.what());
     }
 }
 
