Bound answers that are buffered as a whole

A store, or a server of the own interface, that answered without end could fill 64 MB of a daemon that has 88 to 110. A line of a stream beyond 1 MiB lost bytes, and the rest was passed on as a whole answer.

Change: http_client::fetch() takes 8 MiB at most, an answer that is not streamed 4 MiB. After a line beyond its limit, a stream is never done, so that it ends as malformed.

Evidence: EachFailureIsClassified failed with its two new rows and passes; AFetchedResponseIsBounded passes.

--- a/libs/backend/src/event_stream_parser.cpp
+++ b/libs/backend/src/event_stream_parser.cpp
@@ -87,9 +87,12 @@
 
 std::string_view event_stream_parser::read(std::string_view bytes)
 {
+    if (m_overflowed)
+        return {};
     const size_t newline = bytes.rfind('\n');
     if (newline == std::string_view::npos) {
-        if (m_partialLine.size() + bytes.size() <= maximumLineBytes)
+        m_overflowed = m_overflowed || m_partialLine.size() + bytes.size() > maximumLineBytes;
+        if (!m_overflowed)
             m_partialLine += bytes;
         return {};
     }
--- a/libs/backend/src/event_stream_parser.h
+++ b/libs/backend/src/event_stream_parser.h
@@ -9,7 +9,7 @@
 class event_stream_parser {
 public:
     // Returns the lines completed by the bytes, without [DONE] and anything after it. The view is valid until the next
-    // call and only as long as the bytes are.
+    // call and only as long as the bytes are. Nothing follows a line beyond 1 MiB, so that the stream is never done.
     std::string_view read(std::string_view bytes);
 
     bool done() const { return m_done; }
@@ -23,6 +23,8 @@
     std::string m_joinedLines;
     std::optional<token_usage> m_usage;
     bool m_done = false;
+    // A line has exceeded its limit.
+    bool m_overflowed = false;
 };
 
 // Returns the usage of a chat completion or of one of its chunks; none if it is absent or malformed.
--- a/libs/backend/src/http_model_engine.cpp
+++ b/libs/backend/src/http_model_engine.cpp
@@ -15,6 +15,8 @@
 constexpr int statusUnavailable = 503;
 constexpr duration loadTimeout = std::chrono::seconds(1);
 constexpr size_t maximumErrorBytes = 4096;
+// Limit for an answer that is not streamed, which is buffered as a whole.
+constexpr size_t maximumAnswerBytes = 4U << 20;
 
 // Returns the body to send: the model is set to the chosen version, and streams are asked to report usage in the last
 // event.
@@ -42,6 +44,8 @@
         options.timeout = request.timeout;
         options.connectTimeout = connectTimeout;
         options.repeatable = true;
+        if (!m_streaming)
+            options.maximumBodyBytes = maximumAnswerBytes;
         m_exchange = client.start(server, std::move(message), options, *this);
     }
 
--- a/libs/backend/tests/backend_contract_test.cpp
+++ b/libs/backend/tests/backend_contract_test.cpp
@@ -126,6 +126,14 @@
         { "no end", { 200, { token, lastToken }, "", false, {} }, true, backend_failure::Malformed, false },
         { "no usage", { 200, { token, "data: [DONE]\n\n" }, "", false, {} }, true, backend_failure::Malformed, false },
         { "not JSON", { 200, { "<html>" }, "", false, {} }, false, backend_failure::Malformed, false },
+        // Guards against a stream that is passed on without the bytes of a line that was too long.
+        { "a line beyond the limit",
+            { 200, { token, "data: ", std::string(2U << 20, 'x'), "\n\n" + lastToken + "data: [DONE]\n\n" }, "", false,
+                {} },
+            true, backend_failure::Malformed, false },
+        // Guards against an answer that is buffered until memory runs out.
+        { "too large", { 200, { std::string(5U << 20, ' '), body }, "", false, {} }, false, backend_failure::Malformed,
+            false },
         { "usage of a wrong type",
             { 200, { R"({"usage":{"prompt_tokens":-1,"completion_tokens":"x"}})" }, "", false, {} }, false,
             backend_failure::Malformed, false },
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr size_t maximumIdleConnections = 512;
+// Limit for a response that is buffered as a whole: the longest page of the store and its encoding fit.
+constexpr size_t maximumFetchedBytes = 8U << 20;
 // Idle connections are retired this long before the server's announced time-out, so that no request is sent on a
 // connection that the server is closing.
 constexpr duration keepAliveMargin = std::chrono::milliseconds(500);
@@ -316,6 +318,7 @@
 
 void http_client::fetch(const endpoint& server, http_request request, exchange_options options, fetch_callback callback)
 {
+    options.maximumBodyBytes = std::min(options.maximumBodyBytes, maximumFetchedBytes);
     auto* fetch = new fetch_exchange(m_pool, std::move(callback));
     fetch->setExchange(start(server, std::move(request), std::move(options), *fetch));
 }
--- a/libs/http/tests/endless_response_test.cpp
+++ b/libs/http/tests/endless_response_test.cpp
@@ -139,4 +139,23 @@
     }
 }
 
+// Guards against a response without a limit of its own, such as the store's, that is buffered until memory runs out.
+TEST(EndlessResponseTest, AFetchedResponseIsBounded)
+{
+    constexpr size_t maximumFetchedBytes = 8U << 20;
+    event_loop loop;
+    endless_server server(loop, "HTTP/1.1 200 OK\r\n\r\n", "x");
+    http_client client(loop);
+    std::optional<exchange_result> ended;
+    size_t received = 0;
+    client.fetch(server.address(), { "GET", "/", {}, "" }, {},
+        [&](const exchange_result& result, const http_response& response) {
+            ended = result;
+            received = response.body.size();
+        });
+    EXPECT_TRUE(loop.runUntil([&] { return ended.has_value(); }, testTimeout));
+    EXPECT_EQ(ended.value_or(exchange_result {}).failure, exchange_failure::ResponseTooLarge);
+    EXPECT_LE(received, maximumFetchedBytes);
+}
+
 } // namespace pollen
