Decide in one place whether an answer is whole

Cause: a whole body without any event was held to be no stream and was passed on as it was. The same rule let a resumed run pass that answered with an empty body in place of the event in which the run before had been cut.

Change: isWhole() decides for every answer, from how the body ended, the events of this run, whether the last one is incomplete, and what an earlier run has passed on. All successes on a route of streams are streams unless the server declares another content type. Blank lines and comments behind the last event are passed on; comments alone are no event.

Evidence: AnswerEndTest has the table.

--- /dev/null
+++ b/libs/relay/include/relay/answer_end.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstddef>
+
+namespace pollen {
+
+// How the body of an answer ended.
+enum class body_end {
+    // With its length or its last chunk.
+    Framed,
+    // With an orderly close of its connection, as it had neither a length nor chunks.
+    Connection,
+    // Otherwise: too early, with a reset or with bytes that are no body.
+    Broken,
+};
+
+// What is known of a server's answer once its body has ended.
+struct answer_end {
+    body_end body = body_end::Broken;
+    // The answer is a stream of events. The fields below say nothing for other answers.
+    bool isStream = false;
+    // Complete events of this run, and whether the body ended within one more.
+    size_t events = 0;
+    bool isWithinEvent = false;
+    // Events of an earlier run have been passed on, which this run continues.
+    bool isResumed = false;
+    // An earlier run broke off within an event, which this run has to begin with.
+    bool lacksEvent = false;
+
+    friend bool operator==(const answer_end&, const answer_end&) = default;
+};
+
+// Whether the answer is complete, so that it may be passed on as such. Only the blank line shows that an event has
+// ended, whatever the framing says: a server that breaks off may still end its body in order. A stream without any
+// event is not complete either, unless an earlier run has passed on all of them and the framing shows that none is
+// missing.
+bool isWhole(const answer_end& end);
+
+} // namespace pollen
--- a/libs/relay/include/relay/event_splitter.h
+++ b/libs/relay/include/relay/event_splitter.h
@@ -13,18 +13,21 @@
     // Appends bytes and returns the events that they complete.
     std::string feed(std::string_view bytes);
 
-    // Bytes of the event that is still incomplete.
+    // Bytes behind the last complete event.
     const std::string& partialEvent() const { return m_partialEvent; }
+    // Whether these bytes begin an event. Blank lines and whole comments do not.
+    bool isWithinEvent() const;
     void discardPartialEvent() { m_partialEvent.clear(); }
 
     // Id of the last complete event that had one; none before the first such event.
     std::optional<uint64_t> lastEventId() const { return m_lastEventId; }
 
-    // Number of complete events so far.
+    // Number of complete events so far. Comments alone are none.
     size_t completeEvents() const { return m_completeEvents; }
 
 private:
-    void readId(std::string_view event);
+    // Reads the fields of an event; false if it has none.
+    bool readFields(std::string_view event);
 
     std::string m_partialEvent;
     std::optional<uint64_t> m_lastEventId;
--- a/libs/relay/include/relay/relay_protocol.h
+++ b/libs/relay/include/relay/relay_protocol.h
@@ -56,6 +56,8 @@
     bool notRun = false;
     // The request reached another server: the address has been reassigned.
     bool misdirected = false;
+    // The server declares a content type other than an event stream.
+    bool declaresNoStream = false;
     // The server accepts no further requests on this connection, for example because it is shutting down.
     bool closing = false;
     std::optional<load_report> load;
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -41,6 +41,7 @@
 constexpr const char* rateLimitedReason = "rate_limited";
 
 constexpr int statusOk = 200;
+constexpr int firstRedirectStatus = 300;
 constexpr int statusRequestTimeout = 408;
 constexpr int statusTooManyRequests = 429;
 constexpr int firstServerErrorStatus = 500;
@@ -48,6 +49,8 @@
 constexpr int statusUnavailable = 503;
 constexpr int statusGatewayTimeout = 504;
 
+bool isSuccess(int status) { return status >= statusOk && status < firstRedirectStatus; }
+
 // Callers take these statuses as a promise that the request has not run. A server that means it says so in a header;
 // its bare status is not passed on.
 bool meansNotRun(int status)
@@ -383,7 +386,7 @@
     const bool failed = status >= firstServerErrorStatus;
     m_discard = notRun || m_streamStarted || meansNotRun(status)
         || (failed && m_admission.route->mayRepeat() && hasAttemptsLeft());
-    if (m_streamStarted && status == statusOk)
+    if (m_streamStarted && isStreamAnswer() && !notRun)
         m_discard = false;
     if (!m_discard && !m_streamStarted && tryEscalation())
         return;
@@ -528,8 +531,7 @@
         countAnswer(false);
     }
     releaseServer();
-    m_events.discardPartialEvent();
-    m_body.clear();
+    discardAnswer();
     retryOrFail(notRun ? "not_run" : "answer_too_large", true);
 }
 
@@ -570,9 +572,9 @@
         retryOrFail("not_run", true);
         return;
     }
-    if (isStreamCut(result)) {
+    if (!isWhole(answerEnd(result))) {
         m_dependencies.state.servers().reportFailure(server, m_dependencies.time.now());
-        m_events.discardPartialEvent();
+        discardAnswer();
         countAnswer(false);
         retryOrFail("stream_cut", true);
         return;
@@ -587,16 +589,30 @@
     finishAnswer();
 }
 
-// A stream that ends within an event has been broken off, and one without any event where nothing else tells its end. A
-// whole body that holds no event at all is no stream and is passed on as it is, unless a stream has begun.
-bool relay_exchange::isStreamCut(const exchange_result& result) const
+bool relay_exchange::isStreamAnswer() const
 {
-    if (m_discard || !isStreamAnswer())
-        return false;
-    const bool hasPartialEvent = !m_events.partialEvent().empty();
-    if (m_events.completeEvents() > m_earlierEvents || m_streamStarted)
-        return hasPartialEvent || (m_events.completeEvents() == m_earlierEvents && result.endedWithConnection);
-    return result.endedWithConnection || !hasPartialEvent;
+    return m_admission.route->streaming && isSuccess(m_status) && !m_answer.declaresNoStream;
+}
+
+answer_end relay_exchange::answerEnd(const exchange_result& result) const
+{
+    answer_end end;
+    if (result.ok())
+        end.body = result.endedWithConnection ? body_end::Connection : body_end::Framed;
+    end.isStream = !m_discard && isStreamAnswer();
+    end.events = m_events.completeEvents() - m_earlierEvents;
+    end.isWithinEvent = m_events.isWithinEvent();
+    end.isResumed = m_earlierEvents > 0;
+    end.lacksEvent = m_lacksEvent;
+    return end;
+}
+
+void relay_exchange::discardAnswer()
+{
+    const bool hasNewEvents = m_events.completeEvents() > m_earlierEvents;
+    m_lacksEvent = m_events.isWithinEvent() || (m_lacksEvent && !hasNewEvents);
+    m_events.discardPartialEvent();
+    m_body.clear();
 }
 
 void relay_exchange::recordAnswerForCrashes()
@@ -635,8 +651,8 @@
 void relay_exchange::finishAnswer()
 {
     if (isStreamAnswer() || m_streamStarted) {
-        if (!m_streamStarted)
-            forwardEvents(m_events.partialEvent());
+        // Blank lines and comments may follow the last event.
+        m_request->sendPart(m_events.partialEvent());
         m_request->endStream();
         m_paceTimer.stop();
         recordAnswerPace();
@@ -661,8 +677,7 @@
     else
         servers.reportFailure(*m_server, now);
     releaseServer();
-    m_events.discardPartialEvent();
-    m_body.clear();
+    discardAnswer();
     if (result.failure != exchange_failure::ConnectFailed) {
         m_execution = execution_state::MayHaveRun;
         m_runs += result.responseStarted ? 0 : 1;
@@ -686,8 +701,7 @@
     m_exchange.reset();
     m_dependencies.state.servers().reportUnreachable(*m_server, m_dependencies.time.now());
     releaseServer();
-    m_events.discardPartialEvent();
-    m_body.clear();
+    discardAnswer();
     m_execution = execution_state::MayHaveRun;
     m_runs += m_status == 0 ? 1 : 0;
     suspectCrash("unreachable");
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -6,6 +6,7 @@
 #include <http/http_server.h>
 #include <memory>
 #include <relay/answer_buffer.h>
+#include <relay/answer_end.h>
 #include <relay/attempt_history.h>
 #include <relay/event_splitter.h>
 #include <relay/first_byte_timer.h>
@@ -76,9 +77,11 @@
     // Time until a server of the request's service takes requests again, as far as servers have said.
     duration serverPause() const;
 
-    // Whether the answer that has ended is a stream whose end is missing.
-    bool isStreamCut(const exchange_result& result) const;
-    bool isStreamAnswer() const { return m_admission.route->streaming && m_status == 200; }
+    // How the answer of the current attempt has ended.
+    answer_end answerEnd(const exchange_result& result) const;
+    bool isStreamAnswer() const;
+    // Drops what has been read of the current answer and was not passed on.
+    void discardAnswer();
     bool hasAttemptsLeft() const;
     bool tryEscalation();
     void escalate(const placement_choice& choice, const placement_request& placement);
@@ -174,6 +177,8 @@
     bool m_streamStarted = false;
     // Complete events before the current attempt.
     size_t m_earlierEvents = 0;
+    // An attempt broke off within an event behind the ones that were passed on.
+    bool m_lacksEvent = false;
     bool m_paused = false;
     const char* m_lastReason = "";
     // Why the request was not retried after its last attempt.
--- /dev/null
+++ b/libs/relay/tests/answer_end_test.cpp
@@ -0,0 +1,89 @@
+#include <gtest/gtest.h>
+#include <relay/answer_end.h>
+#include <relay/event_splitter.h>
+#include <string>
+#include <vector>
+
+namespace pollen {
+
+// Guards against ORDER and MIXED: an answer that has been broken off is passed on as if it were complete.
+TEST(AnswerEndTest, OnlyWhatIsCompleteIsWhole)
+{
+    struct end_case {
+        const char* what;
+        answer_end end;
+        bool whole;
+    };
+    constexpr auto framed = body_end::Framed;
+    constexpr auto connection = body_end::Connection;
+    constexpr auto broken = body_end::Broken;
+    // The fields of answer_end, in their order: body, isStream, events, isWithinEvent, isResumed, lacksEvent.
+    const std::vector<end_case> cases {
+        { "plain, framed", { framed, false, 0, false, false, false }, true },
+        { "plain, until the close", { connection, false, 0, false, false, false }, true },
+        { "plain, broken", { broken, false, 0, false, false, false }, false },
+        { "stream, framed", { framed, true, 3, false, false, false }, true },
+        { "stream, until the close", { connection, true, 3, false, false, false }, true },
+        { "stream, broken behind an event", { broken, true, 3, false, false, false }, false },
+        { "framed within the first event", { framed, true, 0, true, false, false }, false },
+        { "until the close within the first event", { connection, true, 0, true, false, false }, false },
+        { "broken within the first event", { broken, true, 0, true, false, false }, false },
+        { "framed within a later event", { framed, true, 3, true, false, false }, false },
+        { "until the close within a later event", { connection, true, 3, true, false, false }, false },
+        { "framed without an event", { framed, true, 0, false, false, false }, false },
+        { "until the close without an event", { connection, true, 0, false, false, false }, false },
+        { "resumed, framed", { framed, true, 2, false, true, false }, true },
+        { "resumed, until the close", { connection, true, 2, false, true, true }, true },
+        { "resumed, framed within its first event", { framed, true, 0, true, true, false }, false },
+        { "resumed, framed within a later event", { framed, true, 2, true, true, true }, false },
+        { "resumed behind the last event", { framed, true, 0, false, true, false }, true },
+        { "resumed behind the last event, until the close", { connection, true, 0, false, true, false }, false },
+        { "resumed, without the event that was cut", { framed, true, 0, false, true, true }, false },
+        { "resumed, broken", { broken, true, 2, false, true, false }, false },
+    };
+    for (const end_case& item : cases)
+        EXPECT_EQ(isWhole(item.end), item.whole) << item.what;
+}
+
+// Guards against an event that is taken for whole or for cut because of how its lines end or of what stands around it.
+TEST(EventSplitterTest, TellsWhetherTheBytesEndWithinAnEvent)
+{
+    struct split_case {
+        const char* bytes;
+        size_t events;
+        bool isWithinEvent;
+    };
+    const std::vector<split_case> cases {
+        { "", 0, false },
+        { "id: 1", 0, true },
+        { "id: 1\n", 0, true },
+        { "id: 1\r\n", 0, true },
+        { "id: 1\ndata: wo", 0, true },
+        { "data: wo\n", 0, true },
+        { "data: whole\n\n", 1, false },
+        { "data: whole\r\n\r\n", 1, false },
+        { "data: whole\n\n\n", 1, false },
+        { "data: whole\r\n\r\n\r\n", 1, false },
+        { "data: whole\n\n: comment\n", 1, false },
+        { "data: whole\n\n: comm", 1, true },
+        { "data: whole\n\nd", 1, true },
+        { "data: whole\n\ndata: cut\r\n", 1, true },
+        { ": comment\n\n", 0, false },
+        { ": comment\ndata: whole\n\n", 1, false },
+        { "\n\ndata: whole\n\n", 1, false },
+    };
+    for (const split_case& item : cases) {
+        const std::string bytes(item.bytes);
+        for (const size_t step : { size_t { 1 }, size_t { 4 }, std::max(bytes.size(), size_t { 1 }) }) {
+            event_splitter splitter;
+            std::string passedOn;
+            for (size_t at = 0; at < bytes.size(); at += step)
+                passedOn += splitter.feed(std::string_view(bytes).substr(at, step));
+            EXPECT_EQ(splitter.completeEvents(), item.events) << bytes << " by " << step;
+            EXPECT_EQ(splitter.isWithinEvent(), item.isWithinEvent) << bytes << " by " << step;
+            EXPECT_EQ(passedOn + splitter.partialEvent(), bytes) << bytes << " by " << step;
+        }
+    }
+}
+
+} // namespace pollen
--- a/standins/tests/broken_answer_test.cpp
+++ b/standins/tests/broken_answer_test.cpp
@@ -3,6 +3,7 @@
 #include <base/socket_address.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <sstream>
 #include <sys/socket.h>
 
 namespace pollen {
@@ -81,7 +82,9 @@
 }
 std::string chunk(const std::string& body)
 {
-    return head + "Transfer-Encoding: chunked\r\n\r\n" + std::to_string(body.size()) + "\r\n" + body + "\r\n";
+    std::ostringstream size;
+    size << std::hex << body.size();
+    return head + "Transfer-Encoding: chunked\r\n\r\n" + size.str() + "\r\n" + body + "\r\n";
 }
 
 struct told_answer {
@@ -133,6 +136,7 @@
     const std::string begin = event(1) + event(2).substr(0, 9);
     const std::string rest = event(2) + event(3);
     const std::string whole = event(1) + rest;
+    const std::string json = head + "Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
     struct stream_case {
         const char* what;
         std::vector<byte_server::reply> script;
@@ -147,6 +151,13 @@
         { "cut, and half of a head next", { { unframed(begin) }, { head.substr(0, 40) } }, { false, 200, event(1) } },
         { "cut, and a head alone next", { { unframed(begin) }, { unframed("") } }, { false, 200, event(1) } },
         { "cut, and no stream next", { { unframed(begin) }, { unframed("out of order") } }, { false, 200, event(1) } },
+        { "cut, and an empty answer next", { { framed(begin) }, { framed("") } }, { false, 200, event(1) } },
+        { "cut, and a cut event next", { { framed(begin) }, { framed(event(2).substr(0, 5)) } },
+            { false, 200, event(1) } },
+        { "reset behind the last event", { { chunk(whole), true }, { framed("") } }, { true, 200, whole } },
+        { "lines behind the last event", { { framed(whole + "\n: end\n") } }, { true, 200, whole + "\n: end\n" } },
+        { "no stream, by its type", { { json } }, { true, 200, "{}" } },
+        { "cut, and no stream by its type next", { { framed(begin) }, { json } }, { false, 200, event(1) } },
         { "a head alone", { { unframed("") } }, { true, 502, "" } },
         { "half of a head", { { head.substr(0, 40) } }, { true, 502, "" } },
     };
@@ -159,6 +170,20 @@
     }
 }
 
+// Guards against ORDER: a stream that broke off within its first event was passed on as a whole body without events,
+// although a length or a last chunk says nothing of the event.
+TEST_F(BrokenAnswerTest, AStreamThatBreaksOffWithinItsFirstEventIsRunAgain)
+{
+    const std::string whole = event(1) + event(2);
+    const std::string lastChunk = "0\r\n\r\n";
+    for (const char* begin : { "id: 1", "id: 1\n", "id: 1\ndata: wo", "id: 1\r\ndata: wo\r\n", "data: wo" }) {
+        for (const std::string& broken : { framed(begin), chunk(begin) + lastChunk, unframed(begin) }) {
+            EXPECT_EQ(send("/s/x", { { broken }, { framed(whole) } }), (told_answer { true, 200, whole })) << broken;
+            EXPECT_EQ(send("/s/x", { { broken } }).status, 502) << broken;
+        }
+    }
+}
+
 // Guards against MIXED: a server stops within the head of its answer and closes, and the caller gets a 200.
 TEST_F(BrokenAnswerTest, AnAnswerThatIsCutIsNeverASuccess)
 {
