Look at each byte of a stream once

Cause: event_splitter searched the partial event from its start for each piece of it, so that the work grew with the square of the event, up to 256 KiB.

Change: the splitter keeps its place within the line and the event. Lines may end with CR as well, as the format allows. What precedes the first event is passed on together with it.

--- a/libs/relay/src/event_splitter.cpp
+++ b/libs/relay/src/event_splitter.cpp
@@ -2,83 +2,95 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace pollen {
 
 namespace {
 
 constexpr std::string_view idField = "id:";
+// A longer line holds no id.
+constexpr size_t maximumIdLineBytes = 64;
 
-// Calls the function for each line that is neither blank nor a comment.
-template <typename Function> void forEachLine(std::string_view text, const Function& function)
+} // namespace
+
+std::string event_splitter::feed(std::string_view bytes)
 {
-    size_t start = 0;
-    while (start < text.size()) {
-        const size_t end = std::min(text.find('\n', start), text.size());
-        std::string_view line = text.substr(start, end - start);
-        start = end + 1;
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
-        if (!line.empty() && !line.starts_with(':'))
-            function(line);
+    // Length of the bytes that belong to complete events.
+    size_t complete = 0;
+    size_t at = 0;
+    while (at < bytes.size()) {
+        if (std::exchange(m_afterCarriageReturn, false) && bytes[at] == '\n') {
+            // The CR may have ended an event, to which the LF belongs as well.
+            const bool endsEvent = at == complete && (complete > 0 || m_partialEvent.empty());
+            ++at;
+            complete = endsEvent ? at : complete;
+            continue;
+        }
+        const size_t end = std::min(bytes.find_first_of("\r\n", at), bytes.size());
+        addToLine(bytes.substr(at, end - at));
+        at = end;
+        if (at == bytes.size())
+            break;
+        m_afterCarriageReturn = bytes[at] == '\r';
+        ++at;
+        if (endLine())
+            complete = at;
     }
+    std::string events;
+    if (complete > 0) {
+        events = std::exchange(m_partialEvent, {});
+        events += bytes.substr(0, complete);
+    }
+    m_partialEvent += bytes.substr(complete);
+    return events;
 }
 
-// Position after the blank line that ends the first event; none if the event is incomplete.
-std::optional<size_t> endOfEvent(std::string_view text)
+void event_splitter::discardPartialEvent()
 {
-    for (size_t line = text.find('\n'); line != std::string_view::npos; line = text.find('\n', line + 1)) {
-        const std::string_view rest = text.substr(line + 1);
-        if (rest.starts_with("\n"))
-            return line + 2;
-        if (rest.starts_with("\r\n"))
-            return line + 3;
-    }
-    return std::nullopt;
+    m_partialEvent.clear();
+    m_line.clear();
+    m_lineLength = 0;
+    m_afterCarriageReturn = false;
+    m_hasField = false;
+    m_eventId.reset();
 }
 
-} // namespace
-
-std::string event_splitter::feed(std::string_view bytes)
+void event_splitter::addToLine(std::string_view text)
 {
-    m_partialEvent += bytes;
-    size_t complete = 0;
-    while (const auto end = endOfEvent(std::string_view(m_partialEvent).substr(complete))) {
-        m_completeEvents += readFields(std::string_view(m_partialEvent).substr(complete, *end)) ? 1 : 0;
-        complete += *end;
-    }
-    std::string events = m_partialEvent.substr(0, complete);
-    m_partialEvent.erase(0, complete);
-    return events;
+    m_lineLength += text.size();
+    m_line += text.substr(0, maximumIdLineBytes - m_line.size());
 }
 
-bool event_splitter::isWithinEvent() const
+bool event_splitter::endLine()
 {
-    const size_t wholeLines = m_partialEvent.rfind('\n') + 1;
-    const std::string_view rest = std::string_view(m_partialEvent).substr(wholeLines);
-    if (!rest.empty() && rest != "\r")
-        return true;
-    bool hasField = false;
-    forEachLine(std::string_view(m_partialEvent).substr(0, wholeLines), [&](std::string_view) { hasField = true; });
-    return hasField;
+    const std::string line = std::exchange(m_line, {});
+    if (std::exchange(m_lineLength, 0) > 0) {
+        m_hasField = m_hasField || !line.starts_with(':');
+        readId(line);
+        return false;
+    }
+    if (std::exchange(m_hasField, false)) {
+        ++m_completeEvents;
+        m_lastEventId = m_eventId ? m_eventId : m_lastEventId;
+    }
+    m_eventId.reset();
+    // What precedes the first event is passed on together with it, so that the caller gets nothing of a server that
+    // sends no event.
+    return m_completeEvents > 0;
 }
 
-bool event_splitter::readFields(std::string_view event)
+void event_splitter::readId(std::string_view line)
 {
-    bool hasField = false;
-    forEachLine(event, [&](std::string_view line) {
-        hasField = true;
-        if (!line.starts_with(idField))
-            return;
-        line.remove_prefix(idField.size());
-        while (line.starts_with(' '))
-            line.remove_prefix(1);
-        uint64_t id = 0;
-        const auto result = std::from_chars(line.data(), line.data() + line.size(), id);
-        if (result.ec == std::errc())
-            m_lastEventId = id;
-    });
-    return hasField;
+    if (!line.starts_with(idField))
+        return;
+    line.remove_prefix(idField.size());
+    while (line.starts_with(' '))
+        line.remove_prefix(1);
+    uint64_t id = 0;
+    const auto result = std::from_chars(line.data(), line.data() + line.size(), id);
+    if (result.ec == std::errc())
+        m_eventId = id;
 }
 
 } // namespace pollen
--- /dev/null
+++ b/libs/relay/tests/event_splitter_test.cpp
@@ -0,0 +1,62 @@
+#include <ctime>
+#include <gtest/gtest.h>
+#include <relay/event_splitter.h>
+
+namespace pollen {
+
+namespace {
+
+std::string feedInSteps(event_splitter& splitter, std::string_view bytes, size_t step)
+{
+    std::string passedOn;
+    for (size_t at = 0; at < bytes.size(); at += step)
+        passedOn += splitter.feed(bytes.substr(at, step));
+    return passedOn;
+}
+
+} // namespace
+
+// Guards against a search of the whole partial event for each piece of it: an event without end, byte by byte, kept the
+// loop from all other callers. The bound is far above the time for looking at each byte once, and far below that for a
+// search from the start of the event.
+TEST(EventSplitterWorkTest, GrowsWithTheBytesOnly)
+{
+    constexpr size_t eventBytes = 256U << 10;
+    constexpr double maximumSeconds = 2;
+    for (const std::string repeated : { "x\n", "x\r\n", "data: x\n", "x", ":\n", "\r" }) {
+        for (const std::string begin : { "data: x\n", "id: 1\ndata: whole\n\ndata: x\n" }) {
+            event_splitter splitter;
+            splitter.feed(begin);
+            const std::clock_t start = std::clock();
+            for (size_t bytes = 0; bytes < eventBytes; bytes += repeated.size())
+                feedInSteps(splitter, repeated, 1);
+            const double seconds = static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC;
+            EXPECT_LE(seconds, maximumSeconds) << begin << repeated;
+        }
+    }
+}
+
+// Guards against a stream that is split differently by the pieces in which it arrives, and bytes that are lost or
+// moved.
+TEST(EventSplitterTest, SplitsAtTheSameEventsForAllLineEnds)
+{
+    for (const std::string end : { "\n", "\r\n", "\r" }) {
+        const std::string first = ": hello" + end + "id: 7" + end + "data: a" + end + end;
+        const std::string second = "data: b" + end + "id: 8" + end + end;
+        const std::string cut = "id: 9" + end + "data: c";
+        const std::string stream = first + second + cut;
+        for (size_t step = 1; step <= stream.size(); ++step) {
+            event_splitter splitter;
+            EXPECT_EQ(feedInSteps(splitter, stream, step), first + second) << step;
+            EXPECT_EQ(splitter.partialEvent(), cut) << step;
+            EXPECT_EQ(splitter.completeEvents(), 2U) << step;
+            EXPECT_EQ(splitter.lastEventId(), 8U) << step;
+            EXPECT_TRUE(splitter.isWithinEvent()) << step;
+            splitter.discardPartialEvent();
+            EXPECT_FALSE(splitter.isWithinEvent()) << step;
+            EXPECT_EQ(feedInSteps(splitter, second, step), second) << step;
+        }
+    }
+}
+
+} // namespace pollen
