Take the counts of a roll-out by the daemon that counted

Cause: counts travelled as sums. While the store does not answer, each leader queries any other daemon as a member and sends it the sum of its group; the daemon asked adds it to its own sum, and sends that back when it queries in turn. The sums grew with each question; trials sized by them got next to no requests. Sums also held what a daemon had counted twice when its leader changed, and lost it when it was published by a leader that had restarted.

Change: every report names the daemon that counted and its start, on the wire between daemons and in the store. Of one start the report with the greatest age holds, whatever its path; earlier starts stay. Only the total that a daemon gets in reply is a sum, and it is not passed on.

--- a/apps/pollenrouted/platform_relay.h
+++ b/apps/pollenrouted/platform_relay.h
@@ -33,7 +33,7 @@
     void onRolloutStatus(const rollout_status& status) override { m_rollouts.applyStatus(status); }
     void onCrashReport(const crash_report& report) override { m_crashes.merge(report, true); }
     void onCrashDropped(const crash_report_key& key) override { m_crashes.drop(key); }
-    void onRolloutReport(const rollout_report& report) override
+    void onRolloutReport(const rollout_group_report& report) override
     {
         m_rolloutSystem.receiveGroupReport(report, m_time.now());
     }
--- a/libs/relay/include/relay/fleet_store.h
+++ b/libs/relay/include/relay/fleet_store.h
@@ -18,8 +18,8 @@
     using publish_callback = std::function<void(bool stored)>;
     virtual void publishRollout(const rollout_status& status, publish_callback callback) = 0;
 
-    // Publishes a report; it may be lost.
-    virtual void publishReport(const rollout_report& report) = 0;
+    // Publishes the reports of a group; they may be lost.
+    virtual void publishReport(const rollout_group_report& report) = 0;
 
     // Stores reports of requests that crashed servers, and deletes outdated ones. Reports true once all of it is known
     // to be stored.
--- a/libs/relay/include/relay/fleet_sync_message.h
+++ b/libs/relay/include/relay/fleet_sync_message.h
@@ -34,7 +34,8 @@
     bool isMember = false;
     // The sender cannot read the store, so that changes are not omitted for their size.
     bool acceptsLarge = false;
-    // The sender's own observations of the running roll-outs; only of a member.
+    // What the sender, and daemons that it has heard from themselves, have counted of the running roll-outs; only of a
+    // member.
     std::vector<rollout_report> reports;
     // The sender's own pending work; only of a member.
     std::vector<server_work> work;
--- a/libs/relay/include/relay/rollout.h
+++ b/libs/relay/include/relay/rollout.h
@@ -49,7 +49,7 @@
     VerySlow,
 };
 
-// What one daemon has counted of a roll-out so far.
+// What one daemon has counted of a roll-out so far, or the sum over several.
 struct rollout_report {
     instance_id daemon;
     // Distinguishes a process from earlier ones with the same id.
@@ -61,7 +61,7 @@
     rollout_evidence evidence;
     // Requests in progress on servers of other versions.
     uint64_t otherVersionRequests = 0;
-    // The daemon, or one that it aggregates for, has rejected the version.
+    // The daemon has rejected the version.
     bool rejected = false;
     // The coordinator has decided that the version is to be completed.
     bool accepted = false;
@@ -69,4 +69,15 @@
     friend bool operator==(const rollout_report&, const rollout_report&) = default;
 };
 
+// What a leader publishes of a roll-out: its own report and those of its members, each under the name of the daemon
+// that counted. All are on the same service and target.
+struct rollout_group_report {
+    instance_id leader;
+    service_name service;
+    version_name target;
+    std::vector<rollout_report> reports;
+
+    friend bool operator==(const rollout_group_report&, const rollout_group_report&) = default;
+};
+
 } // namespace pollen
--- a/libs/relay/include/relay/rollout_system.h
+++ b/libs/relay/include/relay/rollout_system.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <relay/fleet_store.h>
+#include <relay/rollout_reports.h>
 #include <relay/rollout_trial.h>
 #include <relay/rollout_verdict.h>
 
@@ -13,6 +14,9 @@
 // Takes roll-outs through their stages. Members send their counts to their leader, and each leader publishes the counts
 // of its group in the store, so that every daemon computes the same sums and reaches the same verdict. The first of the
 // leaders is the coordinator: it publishes the state to the operators.
+//
+// Counts keep the name of the daemon that counted wherever they are passed on. Only the total that a daemon gets from
+// the one that it queries is a sum, and it is not passed on.
 class rollout_system final : public fleet_system {
 public:
     rollout_system(rollout_table& table, fleet_store& store, const instance_id& self, uint64_t incarnation,
@@ -23,15 +27,15 @@
     // Whether this daemon is a leader: it reads the store and aggregates the counts of its group.
     void setLeader(bool isLeader) { m_isLeader = isLeader; }
 
-    // Stores the published report of a group; `report.daemon` is the group's leader.
-    void receiveGroupReport(const rollout_report& report, time_point now);
-    // Stores the counts of a member of this daemon's group.
-    void receiveMemberReport(const rollout_report& report, time_point now);
+    // Stores the published reports of a group.
+    void receiveGroupReport(const rollout_group_report& report, time_point now);
+    // Stores counts that a member of this daemon's group has sent.
+    void receiveMemberReport(const rollout_report& report, const instance_id& sender, time_point now);
     // Stores the counts of all daemons, as sent by this daemon's leader.
     void receiveTotalReport(const rollout_report& report, time_point now);
 
-    // The counts of this daemon and its members, one report for each running roll-out.
-    std::vector<rollout_report> groupReports(time_point now) const;
+    // The counts of this daemon and those that others have sent it of themselves, for each running roll-out.
+    std::vector<rollout_report> memberReports(time_point now) const;
     // The counts of all daemons that are known here, one report for each running roll-out.
     std::vector<rollout_report> totalReports(time_point now) const;
 
@@ -50,11 +54,7 @@
     void removeOtherVersionRequest(const service_name& service) { --m_otherVersionRequests[service]; }
 
 private:
-    struct received_report {
-        rollout_report report;
-        time_point receivedAt;
-    };
-    using report_key = std::pair<instance_id, service_name>;
+    using received_report = rollout_reports::received_report;
 
     bool isCoordinator(const service_name& service, time_point now) const;
     void startCounting(const rollout_row& row);
@@ -65,7 +65,9 @@
     void accept(rollout_row& row, rollout_verdict verdict);
     void startMove(rollout_row& row, time_point now);
     static bool isCompletionDue(const rollout_row& row, time_point now);
-    rollout_report groupReport(const rollout_row& row, time_point now) const;
+    void receive(const rollout_report& report, report_path path, time_point now);
+    rollout_report ownReport(const rollout_row& row, time_point now) const;
+    rollout_group_report groupReport(const rollout_row& row, time_point now) const;
     rollout_report totalReport(const rollout_row& row, time_point now) const;
     void updateStartTime(const rollout_report& report, time_point now);
     void advance(rollout_row& row, const rollout_report& total, time_point now);
@@ -82,8 +84,9 @@
     std::multimap<time_point, std::pair<rollout_subject, latency_grade>> m_pendingFirstBytes;
     std::map<service_name, uint64_t> m_otherVersionRequests;
     std::map<service_name, version_name> m_countedTargets;
-    std::map<report_key, received_report> m_groups;
-    std::map<report_key, received_report> m_members;
+    rollout_reports m_reports;
+    // When each leader has published last.
+    std::map<std::pair<instance_id, service_name>, time_point> m_leaders;
     std::map<service_name, received_report> m_totals;
     time_point m_nextReport {};
     time_point m_nextPublish {};
--- a/libs/relay/src/fleet_sync.cpp
+++ b/libs/relay/src/fleet_sync.cpp
@@ -313,7 +313,7 @@
     request.isMember = isMember;
     request.acceptsLarge = needsLargeChanges(now);
     if (isMember) {
-        request.reports = m_rollouts.groupReports(now);
+        request.reports = m_rollouts.memberReports(now);
         request.work = ownWork();
     }
     // A leader speaks for its group: while the store is away, other groups learn from it directly.
@@ -518,7 +518,7 @@
             reply.changes.push_back(request.acceptsLarge ? *change : withoutLargeRecords(*change));
         }
         for (const rollout_report& report : request.reports)
-            m_rollouts.receiveMemberReport(report, now);
+            m_rollouts.receiveMemberReport(report, request.sender, now);
         for (const crash_report& report : request.crashes)
             m_crashTable.merge(report, false);
         for (const rate_limit_notice& notice : request.rateLimits)
--- a/libs/relay/src/rollout_system.cpp
+++ b/libs/relay/src/rollout_system.cpp
@@ -6,8 +6,11 @@
 namespace {
 
 constexpr duration reportInterval = std::chrono::seconds(1);
-// Reports older than this are ignored.
+// Older reports say nothing of what is in progress.
 constexpr duration reportLifetime = std::chrono::milliseconds(3500);
+// A leader publishes a member's report this long after it has received it, also when the store did not answer for a
+// time.
+constexpr duration publishedLifetime = std::chrono::seconds(10);
 constexpr duration publishInterval = std::chrono::milliseconds(500);
 // Gives every daemon time to move its sessions and to report the requests still running on other versions.
 constexpr duration moveSettleTime = std::chrono::milliseconds(1100);
@@ -19,18 +22,6 @@
 // All daemons have moved after this time: they begin within one report of each other.
 constexpr duration minimumSettleTime = std::chrono::milliseconds(250);
 
-// Adds the counts of both, under the identity of the first.
-rollout_report sum(const rollout_report& left, const rollout_report& right)
-{
-    rollout_report total = left;
-    total.age = std::max(left.age, right.age);
-    total.evidence += right.evidence;
-    total.otherVersionRequests += right.otherVersionRequests;
-    total.rejected = total.rejected || right.rejected;
-    total.accepted = total.accepted || right.accepted;
-    return total;
-}
-
 } // namespace
 
 rollout_system::rollout_system(rollout_table& table, fleet_store& store, const instance_id& self, uint64_t incarnation,
@@ -51,7 +42,9 @@
     bool anyRunning = false;
     const bool reportNow = m_isLeader && now >= m_nextReport;
     for (auto& [service, row] : m_table.rows()) {
-        if (row.state != rollout_state::Running)
+        const bool isRunning = row.state == rollout_state::Running;
+        m_reports.keepOnly(service, isRunning ? row.order.target : version_name());
+        if (!isRunning)
             continue;
         anyRunning = true;
         startCounting(row);
@@ -80,15 +73,27 @@
             { "allowed_ms", toMilliseconds(row.order.timeLimit) } });
 }
 
-void rollout_system::receiveGroupReport(const rollout_report& report, time_point now)
+void rollout_system::receiveGroupReport(const rollout_group_report& report, time_point now)
 {
-    m_groups[{ report.daemon, report.service }] = { report, now };
-    updateStartTime(report, now);
+    m_leaders[{ report.leader, report.service }] = now;
+    for (const rollout_report& counted : report.reports)
+        receive(counted, report_path::Published, now);
 }
 
-void rollout_system::receiveMemberReport(const rollout_report& report, time_point now)
+void rollout_system::receiveMemberReport(const rollout_report& report, const instance_id& sender, time_point now)
 {
-    m_members[{ report.daemon, report.service }] = { report, now };
+    receive(report, report.daemon == sender ? report_path::Direct : report_path::Forwarded, now);
+}
+
+void rollout_system::receive(const rollout_report& report, report_path path, time_point now)
+{
+    updateStartTime(report, now);
+    if (report.daemon == m_self && report.incarnation == m_incarnation)
+        return;
+    if (!m_reports.merge(report, path, now))
+        m_log.write(log_level::Warning, "rollout_report_dropped",
+            { { "daemon", report.daemon.text() }, { "service", report.service.text() },
+                { "reason", "too many daemons" } });
 }
 
 void rollout_system::receiveTotalReport(const rollout_report& report, time_point now)
@@ -105,12 +110,17 @@
         row->startTime = std::min(row->startTime, now - report.age);
 }
 
-std::vector<rollout_report> rollout_system::groupReports(time_point now) const
+std::vector<rollout_report> rollout_system::memberReports(time_point now) const
 {
     std::vector<rollout_report> reports;
     for (const auto& [service, row] : m_table.rows()) {
-        if (row.state == rollout_state::Running)
-            reports.push_back(groupReport(row, now));
+        if (row.state != rollout_state::Running)
+            continue;
+        reports.push_back(ownReport(row, now));
+        for (const received_report* received : m_reports.find(service, row.order.target)) {
+            if (received->path == report_path::Direct && now - received->receivedAt < reportLifetime)
+                reports.push_back(received->report);
+        }
     }
     return reports;
 }
@@ -186,14 +196,14 @@
 {
     if (!m_isLeader)
         return false;
-    for (const auto& [key, received] : m_groups) {
-        if (key.second == service && key.first < m_self && now - received.receivedAt < reportLifetime)
+    for (const auto& [key, publishedAt] : m_leaders) {
+        if (key.second == service && key.first < m_self && now - publishedAt < reportLifetime)
             return false;
     }
     return true;
 }
 
-rollout_report rollout_system::groupReport(const rollout_row& row, time_point now) const
+rollout_report rollout_system::ownReport(const rollout_row& row, time_point now) const
 {
     const service_name& service = row.order.service;
     rollout_report report { m_self, m_incarnation, service, row.order.target, now - row.startTime, {}, 0, row.rejected,
@@ -203,28 +213,43 @@
         report.evidence = m_ownEvidence.at(service);
     const auto running = m_otherVersionRequests.find(service);
     report.otherVersionRequests = running == m_otherVersionRequests.end() ? 0 : running->second;
-    for (const auto& [key, received] : m_members) {
-        if (key.second == service && received.report.target == row.order.target
-            && now - received.receivedAt < reportLifetime)
-            report = sum(report, received.report);
-    }
     return report;
 }
 
+rollout_group_report rollout_system::groupReport(const rollout_row& row, time_point now) const
+{
+    rollout_group_report group { m_self, row.order.service, row.order.target, { ownReport(row, now) } };
+    for (const received_report* received : m_reports.find(row.order.service, row.order.target)) {
+        const duration age = now - received->receivedAt;
+        if (received->path == report_path::Published || age >= publishedLifetime)
+            continue;
+        group.reports.push_back(received->report);
+        if (age >= reportLifetime)
+            group.reports.back().otherVersionRequests = 0;
+    }
+    return group;
+}
+
 rollout_report rollout_system::totalReport(const rollout_row& row, time_point now) const
 {
     const service_name& service = row.order.service;
+    rollout_report report = ownReport(row, now);
+    for (const received_report* received : m_reports.find(service, row.order.target))
+        addReport(report, received->report, now - received->receivedAt < reportLifetime);
     const auto total = m_totals.find(service);
     const bool usable = total != m_totals.end() && total->second.report.target == row.order.target
         && now - total->second.receivedAt < reportLifetime;
-    if (!m_isLeader && usable)
-        return total->second.report;
-    rollout_report report = groupReport(row, now);
-    for (const auto& [key, received] : m_groups) {
-        if (key.second == service && key.first != m_self && received.report.target == row.order.target)
-            report = sum(report, received.report);
-    }
-    return report;
+    if (m_isLeader || !usable)
+        return report;
+    // Neither holds a count twice, so that the one with more requests is nearer to the truth.
+    const auto sent = [](const rollout_report& counted) {
+        const route_answers answers = counted.evidence.total();
+        return answers.target.sent + answers.others.sent;
+    };
+    rollout_report larger = sent(report) > sent(total->second.report) ? report : total->second.report;
+    larger.rejected = report.rejected || total->second.report.rejected;
+    larger.accepted = report.accepted || total->second.report.accepted;
+    return larger;
 }
 
 void rollout_system::advance(rollout_row& row, const rollout_report& total, time_point now)
--- a/libs/relay/tests/fake_fleet_store.h
+++ b/libs/relay/tests/fake_fleet_store.h
@@ -15,7 +15,7 @@
         else
             waiting = std::move(callback);
     }
-    void publishReport(const rollout_report& report) override { reports.push_back(report); }
+    void publishReport(const rollout_group_report& report) override { reports.push_back(report); }
     void publishCrashes(const std::vector<crash_report>& crashes, const std::vector<crash_report_key>& outdated,
         crash_callback callback) override
     {
@@ -33,7 +33,7 @@
     bool daemonsKnown() const override { return true; }
 
     std::vector<rollout_status> published;
-    std::vector<rollout_report> reports;
+    std::vector<rollout_group_report> reports;
     std::vector<crash_report> crashReports;
     std::vector<crash_report_key> droppedCrashes;
     publish_callback waiting;
--- a/libs/relay/tests/rollout_test.cpp
+++ b/libs/relay/tests/rollout_test.cpp
@@ -50,6 +50,8 @@
     return { instance_id(id), 1, service, target, age, rollout_evidence({ { route, answers, {} } }) };
 }
 
+rollout_group_report groupOf(const rollout_report& report) { return { report.daemon, service, target, { report } }; }
+
 // Completed answers, none of them slow.
 version_answers answered(uint64_t good, uint64_t bad) { return { good + bad, good, bad, good + bad, 0, 0, 0, 0, 0 }; }
 
@@ -175,9 +177,9 @@
     daemon.tickUntil(std::chrono::seconds(0), std::chrono::seconds(2));
     EXPECT_FALSE(daemon.row().rejected);
     daemon.system.receiveGroupReport(
-        reportOf("c", std::chrono::seconds(2), answered(1, 3)), start + std::chrono::seconds(2));
+        groupOf(reportOf("c", std::chrono::seconds(2), answered(1, 3))), start + std::chrono::seconds(2));
     daemon.system.receiveGroupReport(
-        reportOf("d", std::chrono::seconds(2), answered(0, 2)), start + std::chrono::seconds(2));
+        groupOf(reportOf("d", std::chrono::seconds(2), answered(0, 2))), start + std::chrono::seconds(2));
     daemon.tickUntil(std::chrono::seconds(2), std::chrono::milliseconds(2100));
     EXPECT_TRUE(daemon.row().rejected);
     EXPECT_EQ(daemon.row().share, 0);
@@ -190,7 +192,8 @@
     test_daemon daemon("b");
     daemon.table.applyOrder({ service, target, timeLimit }, start);
     daemon.addAnswers(target, 0, 9);
-    daemon.system.receiveGroupReport(reportOf("a", std::chrono::seconds(1), {}), start + std::chrono::seconds(1));
+    daemon.system.receiveGroupReport(
+        groupOf(reportOf("a", std::chrono::seconds(1), {})), start + std::chrono::seconds(1));
     daemon.tickUntil(std::chrono::seconds(1), std::chrono::seconds(4));
     EXPECT_TRUE(daemon.row().rejected);
     EXPECT_TRUE(daemon.store.published.empty());
@@ -221,7 +224,7 @@
     test_daemon daemon("z");
     daemon.table.applyOrder({ service, target, timeLimit }, start);
     daemon.system.receiveGroupReport(
-        reportOf("a", std::chrono::seconds(12), answered(30, 0)), start + std::chrono::seconds(1));
+        groupOf(reportOf("a", std::chrono::seconds(12), answered(30, 0))), start + std::chrono::seconds(1));
     daemon.tickUntil(std::chrono::seconds(1), std::chrono::milliseconds(1100));
     EXPECT_GT(daemon.row().share, 0);
 }
@@ -239,11 +242,14 @@
     const time_point now = start + std::chrono::seconds(1);
     member.system.tick(now);
     EXPECT_TRUE(member.store.reports.empty()) << "only a leader writes to the store";
-    ASSERT_EQ(member.system.groupReports(now).size(), 1U);
-    leader.system.receiveMemberReport(member.system.groupReports(now)[0], now);
+    ASSERT_EQ(member.system.memberReports(now).size(), 1U);
+    leader.system.receiveMemberReport(member.system.memberReports(now)[0], instance_id("b"), now);
     leader.system.tick(now);
     ASSERT_EQ(leader.store.reports.size(), 1U);
-    EXPECT_EQ(leader.store.reports[0].evidence.total().target, answered(1, 9));
+    version_answers published;
+    for (const rollout_report& report : leader.store.reports[0].reports)
+        published += report.evidence.total().target;
+    EXPECT_EQ(published, answered(1, 9));
     EXPECT_TRUE(leader.row().rejected);
     member.system.receiveTotalReport(leader.system.totalReports(now)[0], now);
     member.system.tick(now);
@@ -294,11 +300,11 @@
     daemon.tickUntil(std::chrono::seconds(0), std::chrono::seconds(12));
     rollout_report found = reportOf("c", std::chrono::seconds(12), answered(3, 1));
     found.rejected = true;
-    daemon.system.receiveGroupReport(found, start + std::chrono::seconds(12));
+    daemon.system.receiveGroupReport(groupOf(found), start + std::chrono::seconds(12));
     daemon.tickUntil(std::chrono::seconds(12), std::chrono::seconds(13));
     EXPECT_TRUE(daemon.row().rejected);
     ASSERT_FALSE(daemon.store.reports.empty());
-    EXPECT_TRUE(daemon.store.reports.back().rejected) << "it reports the rejection too";
+    EXPECT_TRUE(daemon.store.reports.back().reports.front().rejected) << "it reports the rejection too";
 }
 
 // Guards the exposure limit: daemons evaluated the evidence at different times and each moved all sessions by itself,
@@ -312,13 +318,13 @@
     rollout_report first = reportOf("a", std::chrono::seconds(0), {});
     for (int second = 0; second < 18; ++second) {
         first.age = std::chrono::seconds(second);
-        daemon.system.receiveGroupReport(first, start + first.age);
+        daemon.system.receiveGroupReport(groupOf(first), start + first.age);
         daemon.tickUntil(first.age, first.age + std::chrono::seconds(1));
     }
     EXPECT_FALSE(daemon.row().moveStarted) << "the coordinator has not accepted the version";
     first.age = std::chrono::seconds(18);
     first.accepted = true;
-    daemon.system.receiveGroupReport(first, start + first.age);
+    daemon.system.receiveGroupReport(groupOf(first), start + first.age);
     daemon.tickUntil(first.age, first.age + std::chrono::milliseconds(50));
     EXPECT_TRUE(daemon.row().moveStarted);
 }
--- a/libs/relay/tests/sync_daemon.h
+++ b/libs/relay/tests/sync_daemon.h
@@ -37,9 +37,9 @@
 
 struct sync_daemon {
     sync_daemon(fake_network& network, const clock& time, const std::string& id, const char* domain, uint16_t port,
-        const fleet_sync::limits& limits)
+        const fleet_sync::limits& limits, uint64_t incarnation = 1)
         : listed { instance_id(id), failure_domain_name(domain), { "127.0.0.1", port } }
-        , rollouts(table, store, listed.id, 1, { 0.15, 30 }, log)
+        , rollouts(table, store, listed.id, incarnation, { 0.15, 30 }, log)
         , crashTable(listed.id)
         , crashes(crashTable, store, time, log)
         , exchange(network, listed.address)
--- a/standins/tests/platform_store_test.cpp
+++ b/standins/tests/platform_store_test.cpp
@@ -13,7 +13,12 @@
     void onServers(const std::vector<listed_server>&) override { }
     void onRolloutOrder(const rollout_order&) override { }
     void onRolloutStatus(const rollout_status&) override { }
-    void onRolloutReport(const rollout_report&) override { ++reports; }
+    void onRolloutReport(const rollout_group_report& report) override
+    {
+        ++reports;
+        latest = report;
+    }
+    rollout_group_report latest;
     void onCrashReport(const crash_report&) override { }
     void onCrashDropped(const crash_report_key&) override { }
 
@@ -42,9 +47,11 @@
     store.start();
     store.setLeader(true);
     store.followReports(true);
-    rollout_report report;
-    report.daemon = self.id;
-    report.service = service_name("s");
+    const rollout_report own { self.id, 1, service_name("s"), version_name("v"), std::chrono::seconds(1),
+        rollout_evidence({ { "r", { 9, 8, 7, 6, 5, 4, 3, 2, 1 }, { 1, 2, 3, 4, 5, 6, 7, 8, 9 } } }), 1, true, true };
+    rollout_report member = own;
+    member.daemon = instance_id("a2");
+    const rollout_group_report report { self.id, own.service, own.target, { own, member } };
     timer publisher(loop, [&] {
         store.publishReport(report);
         for (shared_topic* topic : store.topics()) {
@@ -54,6 +61,7 @@
     });
     publisher.startRepeating(std::chrono::milliseconds(200));
     EXPECT_TRUE(loop.runUntil([&] { return listener.reports >= 2; }, std::chrono::seconds(4)));
+    EXPECT_EQ(listener.latest, report);
 }
 
 } // namespace pollen
