Judge a version until it moves, and none after its time limit

Cause, from logs: a coordinator accepted on 10 of 23 slow first bytes; half a second later, before the move, 21 of 38 were slow, 20 of them very slow, and nobody looked again but for evidence beyond doubt.

Change: up to the move, the coordinator rejects on the evidence that would have made it reject at the decision. A version that was not decided on within its time limit is rolled back.

Evidence: both new tests of RolloutSystem fail before and pass.

--- a/libs/relay/src/rollout_system.cpp
+++ b/libs/relay/src/rollout_system.cpp
@@ -260,10 +260,15 @@
     // Daemons see the same evidence at different times; a rejection by one of them is valid for all.
     if (total.rejected && !row.rejected)
         reject(row, "found by another daemon");
-    // When the evidence is weak, only the coordinator decides.
+    // When the evidence is weak, only the coordinator decides. It goes on looking until the move, as answers that were
+    // under way at its decision are counted later.
     const bool isDecisionDue = m_trial.isDecisionDue(row, now) && isCoordinator(row.order.service, now);
-    if (!row.rejected && !row.accepted && isDecisionDue && isProbablyBad(row.evidence))
-        reject(row, "no time to see more");
+    if (!row.rejected && !row.moveStarted && isDecisionDue && isProbablyBad(row.evidence))
+        reject(row, row.accepted ? "evidence since the decision" : "no time to see more");
+    // The operators no longer wait for a version that was not decided on in time, as while the store was away.
+    const bool isOverdue = now - row.startTime >= row.order.timeLimit;
+    if (!row.rejected && !row.accepted && !total.accepted && isDecisionDue && isOverdue)
+        reject(row, "no decision within the time limit");
     if (!row.rejected && !row.accepted && (isDecisionDue || total.accepted))
         accept(row, verdict);
     if (!row.rejected && row.accepted && !row.moveStarted && m_trial.mayMove(row, now))
--- a/libs/relay/tests/rollout_test.cpp
+++ b/libs/relay/tests/rollout_test.cpp
@@ -472,4 +472,39 @@
     EXPECT_NE(usual.grade({ service.text(), 0 }, std::chrono::seconds(1), 0), latency_grade::Normal);
 }
 
+// Guards against EXPOSURE: a slow version was accepted on the answers that had ended by then, and completed although
+// those that ended before the move showed what it was.
+TEST(RolloutSystem, AnAcceptedVersionIsRejectedOnAnswersThatEndBeforeTheMove)
+{
+    test_daemon daemon("a");
+    daemon.table.applyOrder({ service, target, timeLimit }, start);
+    daemon.addAnswers(old, 200, 0);
+    daemon.addAnswers(target, 45, 0);
+    daemon.tickUntil(std::chrono::seconds(0), std::chrono::milliseconds(18500));
+    ASSERT_TRUE(daemon.row().accepted);
+    ASSERT_FALSE(daemon.row().moveStarted);
+    for (int i = 0; i < 7; ++i)
+        daemon.system.countFirstByte({ service, target, route }, latency_grade::VerySlow);
+    daemon.tickUntil(std::chrono::milliseconds(18500), std::chrono::milliseconds(19300));
+    EXPECT_TRUE(daemon.row().rejected);
+    EXPECT_FALSE(daemon.row().moveStarted);
+}
+
+// Guards against EXPOSURE: no daemon decides while the store is away. The one that had it back first accepted a version
+// whose time limit had passed, on evidence that showed neither.
+TEST(RolloutSystem, AVersionThatWasNotDecidedOnInTimeIsRolledBack)
+{
+    test_daemon daemon("a");
+    daemon.table.applyOrder({ service, target, timeLimit }, start);
+    daemon.system.setLeader(false);
+    daemon.addAnswers(old, 200, 0);
+    daemon.addAnswers(target, 45, 0);
+    daemon.tickUntil(std::chrono::seconds(0), std::chrono::milliseconds(20100));
+    EXPECT_FALSE(daemon.row().accepted);
+    daemon.system.setLeader(true);
+    daemon.tickUntil(std::chrono::milliseconds(20100), std::chrono::milliseconds(20500));
+    EXPECT_TRUE(daemon.row().rejected);
+    EXPECT_EQ(daemon.row().state, rollout_state::RolledBack);
+}
+
 } // namespace pollen
