Answer everything that is taken before a planned stop ends

Cause: for the time in which the balancer still sends new callers, requests were taken whatever time they might need. At the end of the grace the process ended with connections open, those of requests included that had not run at all. The own interface did both.

Change: from SIGTERM on, a request is taken only if its deadline lies before the end; others are refused at once as not run, with a Retry-After of 50 ms, as another daemon can take them. Shortly before the end, what is still open is answered: refused where nothing has run, failed otherwise; a stream that has begun breaks off. The same for chats and calls of the own interface, between drain_grace and drain_timeout.

--- a/apps/pollenrouted/daemon.cpp
+++ b/apps/pollenrouted/daemon.cpp
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr duration tickInterval = std::chrono::milliseconds(50);
+// Time in which the last answers are sent before the process ends.
+constexpr duration lastAnswersMargin = std::chrono::milliseconds(200);
 constexpr duration heartbeatInterval = std::chrono::milliseconds(500);
 constexpr duration peerSilence = std::chrono::milliseconds(2500);
 constexpr size_t journalCapacity = 4096;
@@ -137,6 +139,7 @@
     std::unique_ptr<http_server> operatorServer;
     std::vector<std::unique_ptr<signal_handler>> signals;
     std::optional<time_point> shutdownStart;
+    bool hasEndedRequests = false;
     bool clean = true;
 };
 
@@ -215,7 +218,7 @@
     if (p.shutdownStart)
         return;
     p.shutdownStart = p.time.now();
-    p.callers.setDraining();
+    p.callers.setDraining(*p.shutdownStart + p.settings.limits.drainTimeout - lastAnswersMargin);
     p.callerServer->setClosing(true);
     p.node.setStatus(
         { p.configuration ? p.configuration->version() : 0, true, static_cast<uint32_t>(p.callers.openRequests()) });
@@ -224,7 +227,8 @@
         log_level::Info, "shutdown_started", { { "open_requests", static_cast<int64_t>(p.callers.openRequests()) } });
 }
 
-// Accepts for the grace time, so that the balancer can turn away; then waits for requests, bills and claims.
+// Accepts for the grace time, so that the balancer can turn away; then waits for requests, bills and claims. Requests
+// that are still open at the end are answered before the process ends.
 void daemon::continueShutdown()
 {
     parts& p = *m_parts;
@@ -232,12 +236,17 @@
     if (passed < p.settings.limits.drainGrace)
         return;
     p.callerServer->stopAccepting();
+    const bool isEnding = passed + lastAnswersMargin >= p.settings.limits.drainTimeout;
+    if (isEnding && !std::exchange(p.hasEndedRequests, true)) {
+        p.clean = p.callers.openRequests() == 0;
+        p.callers.endOpenRequests();
+    }
     const bool idle = p.callers.openRequests() == 0 && p.callerServer->openRequests() == 0;
     const bool settled = p.bills.isFlushed() && p.claims.isFlushed();
     const bool overdue = passed >= p.settings.limits.drainTimeout;
     if (!overdue && !(idle && settled))
         return;
-    p.clean = idle;
+    p.clean = p.clean && idle;
     p.loop.stop();
 }
 
--- a/apps/pollenrouted/platform_daemon.cpp
+++ b/apps/pollenrouted/platform_daemon.cpp
@@ -12,8 +12,9 @@
 constexpr duration tickInterval = std::chrono::milliseconds(50);
 // The balancer asks once a second and turns away after two misses.
 constexpr duration balancerReaction = std::chrono::milliseconds(2500);
-// What is left of the platform's grace for the process to end.
+// What is left of the platform's grace for the process to end, and for the last answers to be sent before it does.
 constexpr duration endMargin = std::chrono::milliseconds(300);
+constexpr duration lastAnswersMargin = std::chrono::milliseconds(200);
 
 http_server_limits toServerLimits(const caller_limits& limits)
 {
@@ -42,6 +43,7 @@
     std::string settingsFile;
     std::optional<time_point> shutdownStart;
     bool accepting = true;
+    bool hasEndedRequests = false;
     bool ready = false;
     bool clean = true;
 };
@@ -118,13 +120,14 @@
     if (p.shutdownStart)
         return;
     p.shutdownStart = p.time.now();
-    p.relay.gateway().setDraining();
+    p.relay.gateway().setDraining(*p.shutdownStart + p.settings.stopGrace - endMargin - lastAnswersMargin);
     p.callerServer->setClosing(true);
     p.log.write(
         log_level::Info, "stopping", { { "open_requests", static_cast<int64_t>(p.relay.gateway().openRequests()) } });
 }
 
-// Accepts until the balancer has turned away, then waits for requests as long as the platform allows.
+// Accepts until the balancer has turned away, then waits for requests as long as the platform allows. Those that are
+// still in flight are answered before the process ends.
 void platform_daemon::continueShutdown()
 {
     parts& p = *m_parts;
@@ -136,10 +139,16 @@
         p.relay.gateway().refuseNewRequests();
     }
     p.callerServer->closeIdleConnections();
+    const duration left = p.settings.stopGrace - passed;
+    if (left <= endMargin + lastAnswersMargin && !std::exchange(p.hasEndedRequests, true)) {
+        p.clean = p.relay.gateway().openRequests() == 0;
+        p.log.write(log_level::Info, "requests_ended",
+            { { "open_requests", static_cast<int64_t>(p.relay.gateway().openRequests()) } });
+        p.relay.gateway().endOpenRequests();
+    }
     const bool idle = p.relay.gateway().openRequests() == 0 && p.callerServer->openConnections() == 0;
-    if (!idle && passed < p.settings.stopGrace - endMargin)
+    if (!idle && left > endMargin)
         return;
-    p.clean = idle;
     p.loop.stop();
 }
 
--- a/libs/gateway/include/gateway/caller_gateway.h
+++ b/libs/gateway/include/gateway/caller_gateway.h
@@ -20,9 +20,13 @@
     void handle(const std::shared_ptr<server_request>& request);
 
     // Readiness: false before the first configuration is applied and while draining.
-    bool ready() const { return !m_draining && m_dependencies.tables.document(); }
-    void setDraining() { m_draining = true; }
-    bool draining() const { return m_draining; }
+    bool ready() const { return !draining() && m_dependencies.tables.document(); }
+    // The instance stops at the given time. New requests are taken only if their deadline lies before it.
+    void setDraining(time_point stopsAt) { m_dependencies.stopsAt = stopsAt; }
+    bool draining() const { return m_dependencies.stopsAt.has_value(); }
+
+    // Fails the requests that are still open, so that each gets an answer before the instance stops.
+    void endOpenRequests();
 
     // Number of unfinished requests, including non-repeatable calls that continue after their caller disconnected.
     size_t openRequests() const { return m_openExchanges.size(); }
@@ -37,7 +41,6 @@
     std::shared_ptr<bool> m_alive;
     std::string m_idPrefix;
     uint64_t m_idCounter = 0;
-    bool m_draining = false;
     std::set<std::shared_ptr<caller_exchange>> m_openExchanges;
 };
 
--- a/libs/gateway/include/gateway/gateway_dependencies.h
+++ b/libs/gateway/include/gateway/gateway_dependencies.h
@@ -33,6 +33,8 @@
     retry_budget& retries;
     // Null if there is no rating service.
     rating_system* ratings;
+    // When this instance stops; none while it is not shutting down.
+    std::optional<time_point> stopsAt {};
 };
 
 } // namespace pollen
--- a/libs/gateway/src/caller_exchange.cpp
+++ b/libs/gateway/src/caller_exchange.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr duration retryAfterTeamLimit = std::chrono::seconds(1);
+// Another instance can accept the request at once.
+constexpr duration retryAfterStopping = std::chrono::milliseconds(50);
 constexpr duration retryAfterLogOutage = std::chrono::seconds(5);
 
 } // namespace
@@ -41,7 +43,14 @@
     }
 }
 
-void caller_exchange::admit(const team_name& team, const class_name& requestClass)
+void caller_exchange::endWithInstance()
+{
+    const auto self = shared_from_this();
+    if (!ended())
+        onInstanceStops();
+}
+
+void caller_exchange::admit(const team_name& team, const class_name& requestClass, duration timeLeft)
 {
     m_team = team;
     m_class = requestClass;
@@ -53,6 +62,9 @@
     if (m_dependencies.bills.isFull())
         throw request_error({ error_kind::Overloaded, run_state::NotRun, "too many bills wait for the platform's log",
             retryAfterLogOutage });
+    if (m_dependencies.stopsAt && m_start + timeLeft > *m_dependencies.stopsAt)
+        throw request_error({ error_kind::Overloaded, run_state::NotRun,
+            "this instance stops before the request's deadline", retryAfterStopping });
     m_dependencies.tables.addTeamRequest(team);
     m_isCountedForTeam = true;
     m_dependencies.retries.onRequest();
--- a/libs/gateway/src/caller_exchange.h
+++ b/libs/gateway/src/caller_exchange.h
@@ -22,15 +22,21 @@
     // Starts processing. onEnd is called exactly once, after the exchange has completed; possibly from inside start().
     void start(std::function<void()> onEnd);
 
+    // Answers the request as far as that is still possible, because the instance stops.
+    void endWithInstance();
+
 protected:
     // Validates the request and starts processing it. Throws request_error.
     virtual void begin() = 0;
     // Called when the caller disconnects before its answer is complete.
     virtual void onCallerDisconnected() = 0;
+    // Called when the instance stops before the answer is complete; sends an error.
+    virtual void onInstanceStops() = 0;
 
     // Counts the request towards its team's limit until this object is destroyed. Throws request_error when the team
-    // or the backlog of bills for the log is at its limit.
-    void admit(const team_name& team, const class_name& requestClass);
+    // or the backlog of bills for the log is at its limit, or when the instance stops before the request's time is
+    // over.
+    void admit(const team_name& team, const class_name& requestClass, duration timeLeft);
 
     // Sends a typed error to the caller and ends the exchange.
     void replyWithError(const api_error& error);
--- a/libs/gateway/src/caller_gateway.cpp
+++ b/libs/gateway/src/caller_gateway.cpp
@@ -98,6 +98,12 @@
     request.reply(200, { { "Content-Type", "application/json" }, { "X-Request-Id", id.text() } }, body.dump());
 }
 
+void caller_gateway::endOpenRequests()
+{
+    for (const auto& exchange : std::set(m_openExchanges))
+        exchange->endWithInstance();
+}
+
 void caller_gateway::start(const std::shared_ptr<caller_exchange>& exchange)
 {
     m_openExchanges.insert(exchange);
--- a/libs/gateway/src/chat_exchange.cpp
+++ b/libs/gateway/src/chat_exchange.cpp
@@ -52,9 +52,9 @@
     const class_handle requestClass = requestedClass(request, tables, team);
     m_idempotencyKey = idempotencyKey(request);
     m_chat = parseChatRequest(request.body);
-    admit(tables.team(team).entry->name, tables.requestClass(requestClass).name);
     const duration timeLeft = requestedDeadline(
         request, tables.requestClass(requestClass).deadline, m_dependencies.settings.limits.requestTimeout);
+    admit(tables.team(team).entry->name, tables.requestClass(requestClass).name, timeLeft);
     m_deadline = m_start + timeLeft;
     m_teamClassMetrics = &m_dependencies.metrics.forTeamAndClass(m_team, m_class);
     m_isRatingSample = m_dependencies.ratings && m_dependencies.ratings->shouldSample(m_start);
@@ -335,6 +335,15 @@
     end("cancelled");
 }
 
+void chat_exchange::onInstanceStops()
+{
+    m_certainlyNotRun = m_certainlyNotRun && !m_call;
+    m_call.reset();
+    releaseServer();
+    recordStep("failed", "this instance stops");
+    failAnswer(backend_failure::ConnectionLost, "this instance stops");
+}
+
 bill chat_exchange::makeBill(const token_usage& usage) const
 {
     bill bill;
--- a/libs/gateway/src/chat_exchange.h
+++ b/libs/gateway/src/chat_exchange.h
@@ -17,6 +17,7 @@
 private:
     void begin() override;
     void onCallerDisconnected() override;
+    void onInstanceStops() override;
 
     void onBytes(std::string_view bytes) override;
     void onAnswered(const token_usage& usage) override;
--- a/libs/gateway/src/service_exchange.cpp
+++ b/libs/gateway/src/service_exchange.cpp
@@ -40,7 +40,7 @@
     m_idempotencyKey = idempotencyKey(request);
     const duration timeLeft
         = requestedDeadline(request, service->timeout, m_dependencies.settings.limits.requestTimeout);
-    admit(team.name, class_name("service"));
+    admit(team.name, class_name("service"), timeLeft);
     m_deadline = m_start + timeLeft;
     m_target = "service:" + m_service.text();
     m_cost = service->costPerCall;
@@ -213,6 +213,17 @@
     end("cancelled");
 }
 
+void service_exchange::onInstanceStops()
+{
+    recordStep("failed", "this instance stops");
+    if (m_attempts == 0)
+        m_dependencies.claims.cancel(m_id);
+    m_certainlyNotRun = m_certainlyNotRun && !m_call;
+    m_call.reset();
+    releaseServer();
+    replyWithFailure(backend_failure::ConnectionLost);
+}
+
 void service_exchange::releaseServer()
 {
     if (m_currentServer)
--- a/libs/gateway/src/service_exchange.h
+++ b/libs/gateway/src/service_exchange.h
@@ -16,6 +16,7 @@
 private:
     void begin() override;
     void onCallerDisconnected() override;
+    void onInstanceStops() override;
 
     void claim();
     void onClaim(claim_outcome outcome, const recorded_answer* answer);
--- a/libs/gateway/tests/chat_test.cpp
+++ b/libs/gateway/tests/chat_test.cpp
@@ -320,7 +320,7 @@
 TEST_F(GatewayTest, IsReadyUntilItDrains)
 {
     EXPECT_EQ(send({ "GET", "/readyz", {}, "" })->status, 200);
-    m_gateway.setDraining();
+    m_gateway.setDraining(m_clock.now() + std::chrono::hours(1));
     EXPECT_EQ(send({ "GET", "/readyz", {}, "" })->status, 503);
     EXPECT_EQ(send({ "GET", "/healthz", {}, "" })->status, 200);
     send(chat());
--- a/libs/gateway/tests/operator_test.cpp
+++ b/libs/gateway/tests/operator_test.cpp
@@ -34,7 +34,7 @@
     const auto status = nlohmann::json::parse(ask("GET", "/admin/status")->body);
     EXPECT_EQ(status["id"], "d1");
     EXPECT_EQ(status["backend_servers"].size(), 5U);
-    m_gateway.setDraining();
+    m_gateway.setDraining(m_clock.now() + std::chrono::hours(1));
     EXPECT_EQ(ask("GET", "/readyz")->status, 503);
     EXPECT_EQ(nlohmann::json::parse(ask("GET", "/admin/status")->body)["draining"], true);
 }
--- a/libs/relay/include/relay/relay_gateway.h
+++ b/libs/relay/include/relay/relay_gateway.h
@@ -24,18 +24,24 @@
 
     // Ready to accept requests: the fleet state is known, keys can be checked, and the daemon is not shutting down.
     bool ready() const;
-    void setDraining() { m_draining = true; }
+
+    // The daemon stops at the given time. New requests are taken only if their deadline lies before it.
+    void setDraining(time_point stopsAt) { m_stopsAt = stopsAt; }
 
     // Refuses all new requests, so that those in flight can finish before the daemon exits.
     void refuseNewRequests() { m_refusing = true; }
 
+    // Answers the requests that are still in flight: those that have not run are refused, the others fail, and streams
+    // break off.
+    void endOpenRequests();
+
     // Number of requests that are still in flight.
     size_t openRequests() const { return m_open.size(); }
 
 private:
     relay_dependencies& m_dependencies;
     std::shared_ptr<bool> m_alive;
-    bool m_draining = false;
+    std::optional<time_point> m_stopsAt;
     bool m_refusing = false;
     std::set<std::shared_ptr<relay_exchange>> m_open;
 };
--- a/libs/relay/src/admission.h
+++ b/libs/relay/src/admission.h
@@ -4,6 +4,9 @@
 
 namespace pollen {
 
+// Short, because another daemon can accept the request at once.
+constexpr duration retryAfterStopping = std::chrono::milliseconds(50);
+
 // An error answer by the router to a request that has not been sent to any server.
 struct refusal {
     int status;
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -24,6 +24,7 @@
 constexpr size_t maximumEventBytes = 256U << 10;
 constexpr size_t maximumDiscardedBytes = 64U << 10;
 constexpr duration retryAfterFull = std::chrono::milliseconds(400);
+constexpr const char* stoppingReason = "stopping";
 
 // How long requests wait for the first fleet state after a start. Callers allow at least this long for the reading of
 // their request.
@@ -72,9 +73,10 @@
 
 relay_exchange::~relay_exchange() { releaseServer(); }
 
-void relay_exchange::start(std::function<void()> onEnd)
+void relay_exchange::start(std::function<void()> onEnd, std::optional<time_point> mustEndBy)
 {
     m_onEnd = std::move(onEnd);
+    m_mustEndBy = mustEndBy;
     m_traits = m_dependencies.protocol.readRequest(m_request->request());
     m_request->setHangUpCallback([self = shared_from_this()] { self->onCallerGone(); });
     admitAndAttempt();
@@ -93,6 +95,10 @@
         refuse(m_admission.refused->status, m_admission.refused->type, m_admission.refused->retryAfter);
         return;
     }
+    if (m_mustEndBy && m_admission.deadline > *m_mustEndBy) {
+        refuse(statusUnavailable, stoppingReason, retryAfterStopping);
+        return;
+    }
     attempt();
 }
 
@@ -125,6 +131,29 @@
         });
 }
 
+void relay_exchange::endWithDaemon()
+{
+    const auto self = shared_from_this();
+    m_awaitsFleetState = false;
+    m_awaitsPermit = false;
+    m_retryAt.reset();
+    if (m_exchange)
+        m_execution = execution_state::MayHaveRun;
+    m_exchange.reset();
+    releaseServer();
+    discardAnswer();
+    m_lastReason = stoppingReason;
+    if (m_streamStarted) {
+        m_request->abort();
+        end("stream_broken");
+        return;
+    }
+    if (m_execution == execution_state::NotRun)
+        refuse(statusUnavailable, stoppingReason, retryAfterStopping);
+    else
+        refuse(statusBadGateway, stoppingReason);
+}
+
 void relay_exchange::abandon()
 {
     m_onEnd = nullptr;
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -31,12 +31,16 @@
     relay_exchange(const relay_exchange&) = delete;
     relay_exchange& operator=(const relay_exchange&) = delete;
 
-    // onEnd is called once, after the request has finished, possibly from within start().
-    void start(std::function<void()> onEnd);
+    // onEnd is called once, after the request has finished, possibly from within start(). A request whose deadline lies
+    // behind mustEndBy is refused: the daemon stops then, and it could be cut.
+    void start(std::function<void()> onEnd, std::optional<time_point> mustEndBy = {});
 
     // Runs the timers of the request: waits, first-byte timing and checks for a silent server.
     void tick(time_point now);
 
+    // Answers the request as far as that is still possible, because the daemon stops.
+    void endWithDaemon();
+
     // Stops the request and releases the server and all other resources of the daemon. onEnd is not called.
     void abandon();
 
@@ -125,6 +129,7 @@
     time_point m_firstByteAt {};
     admission m_admission;
     std::function<void()> m_onEnd;
+    std::optional<time_point> m_mustEndBy;
 
     // The current attempt.
     std::unique_ptr<exchange> m_exchange;
--- a/libs/relay/src/relay_gateway.cpp
+++ b/libs/relay/src/relay_gateway.cpp
@@ -1,5 +1,6 @@
 #include <relay/relay_gateway.h>
 
+#include "admission.h"
 #include "relay_exchange.h"
 
 namespace pollen {
@@ -7,8 +8,6 @@
 namespace {
 
 constexpr int statusUnavailable = 503;
-// Short, because another daemon can accept the request immediately.
-constexpr const char* retryAfterStoppingSeconds = "0.05";
 
 } // namespace
 
@@ -29,7 +28,8 @@
 {
     if (m_refusing) {
         request->reply(statusUnavailable,
-            { { "Content-Type", "application/json" }, { "Retry-After", retryAfterStoppingSeconds } },
+            { { "Content-Type", "application/json" },
+                { "Retry-After", std::to_string(toSeconds(retryAfterStopping)) } },
             "{\"error\":{\"run\":\"not_run\",\"type\":\"stopping\"}}\n");
         m_dependencies.metrics.countOutcome("", "", "refused", "stopping");
         return;
@@ -37,12 +37,20 @@
     const auto exchange = std::make_shared<relay_exchange>(m_dependencies, request);
     m_open.insert(exchange);
     // The callback runs inside the exchange's own code, so the exchange is released later by the event loop.
-    exchange->start([this, weak = std::weak_ptr(exchange)] {
-        m_dependencies.loop.post([this, weak, alive = std::weak_ptr<bool>(m_alive)] {
-            if (!alive.expired())
-                m_open.erase(weak.lock());
-        });
-    });
+    exchange->start(
+        [this, weak = std::weak_ptr(exchange)] {
+            m_dependencies.loop.post([this, weak, alive = std::weak_ptr<bool>(m_alive)] {
+                if (!alive.expired())
+                    m_open.erase(weak.lock());
+            });
+        },
+        m_stopsAt);
+}
+
+void relay_gateway::endOpenRequests()
+{
+    for (const auto& exchange : std::set(m_open))
+        exchange->endWithDaemon();
 }
 
 void relay_gateway::tick(time_point now)
@@ -54,7 +62,7 @@
 bool relay_gateway::ready() const
 {
     const relay_state& state = m_dependencies.state;
-    return !m_draining && state.configuration() && state.serversKnown()
+    return !m_stopsAt && state.configuration() && state.serversKnown()
         && !state.keysOutdated(m_dependencies.time.now());
 }
 
--- a/standins/tests/daemon_process.h
+++ b/standins/tests/daemon_process.h
@@ -10,9 +10,16 @@
 #include <sstream>
 #include <string>
 #include <sys/wait.h>
+#include <unistd.h>
 
 namespace pollen {
 
+// Test processes that run side by side use addresses of their own.
+inline std::string loopbackAddress(size_t host)
+{
+    return "127." + std::to_string(1 + ::getpid() % 250) + ".0." + std::to_string(host);
+}
+
 // A pollenrouted as a process of its own, with the platform's settings.
 class daemon_process {
 public:
--- a/standins/tests/process_soak_test.cpp
+++ b/standins/tests/process_soak_test.cpp
@@ -34,12 +34,6 @@
 "max-attempts":3}],
 "services":[{"name":"desk","max-conns":1000}]})";
 
-// Test processes that run side by side use addresses of their own.
-std::string loopbackAddress(size_t host)
-{
-    return "127." + std::to_string(1 + ::getpid() % 250) + ".0." + std::to_string(host);
-}
-
 bool isPromise(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
 // What one caller was told of one request.
