Tests: servers on routes of streams answer with events

Two tests of other matters let a server on a route of streams answer with the word "done" and expected it as a success. They answer with a whole event, and the tests expect just that body or success as before.

--- a/standins/tests/crashing_request_test.cpp
+++ b/standins/tests/crashing_request_test.cpp
@@ -45,7 +45,7 @@
     {
         const std::string_view parts = findHeader(request->request().headers, promptPartsHeader);
         if (request->request().body != "crash" && parts.find(deadlyPart) == std::string_view::npos) {
-            request->reply(200, answerHeaders(*request), "done");
+            request->reply(200, answerHeaders(*request), event(1));
             return;
         }
         m_held.push_back(request);
--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -384,7 +384,8 @@
     start();
     for (const char* path : { "/s/x", "/o/x" }) {
         const char* service = path[1] == 's' ? "advice" : "desk";
-        backend_standin alive(m_loop, { answers(200, "done") });
+        const std::string whole = path[1] == 's' ? event(1) : "done";
+        backend_standin alive(m_loop, { answers(200, whole) });
         for (int i = 0; i < 3; ++i) {
             const backend_standin gone(m_loop, { hangs });
             list((std::string("gone-") + service + std::to_string(i)).c_str(), service, gone);
@@ -392,7 +393,7 @@
         const std::string id = std::string("alive-") + service;
         list(id.c_str(), service, alive);
         ASSERT_TRUE(eventually([&] { return m_relay.state().servers().find(instance_id(id)).has_value(); }));
-        EXPECT_EQ(send(request("POST", path)).response.body, "done") << path;
+        EXPECT_EQ(send(request("POST", path)).response.body, whole) << path;
     }
 }
 
