Send nothing to a server within the pause that it has named

Cause: a pause made a server dear in the choice, and where all were dear, one of them was chosen.

Change: a server within its pause is not chosen. Where all pause, callers are refused at once, as before, with the time of the earliest return.

--- a/libs/relay/src/placement.cpp
+++ b/libs/relay/src/placement.cpp
@@ -119,7 +119,8 @@
     for (uint32_t index = 0; index < servers.rows().size(); ++index) {
         const server_row& row = servers.rows()[index];
         const server_handle server { index };
-        if (!isEligible(row, server, request))
+        // A server that is merely thought to be unavailable is the last choice; one that has named a pause is none.
+        if (!isEligible(row, server, request) || now < row.notBefore)
             continue;
         candidate entry { server, 0, 0 };
         if (!row.isAvailable(now))
--- a/standins/tests/server_statement_test.cpp
+++ b/standins/tests/server_statement_test.cpp
@@ -167,6 +167,29 @@
     EXPECT_LT(retryAfter, 2.3);
 }
 
+// Guards against BUDGET: where all servers of a service had named a pause, each still got requests within it.
+TEST_F(ServerStatementTest, WhereAllServersPauseNoneGetsRequestsWithinItsPause)
+{
+    std::vector<std::vector<time_point>> arrivals(4);
+    std::vector<std::unique_ptr<backend_standin>> servers;
+    for (size_t i = 0; i < arrivals.size(); ++i) {
+        servers.push_back(std::make_unique<backend_standin>(m_loop,
+            std::vector<behaviour> { [this, &times = arrivals[i]](const std::shared_ptr<server_request>& request) {
+                times.push_back(m_time.now());
+                answers(503, "", { { "Pollenroute-Not-Executed", "1" }, { "Retry-After", "1.5" } })(request);
+            } }));
+        list(("s" + std::to_string(i)).c_str(), *servers.back());
+    }
+    awaitReady();
+    sendFor(pauseTime, "/o/x");
+    for (const std::vector<time_point>& times : arrivals) {
+        ASSERT_FALSE(times.empty());
+        const auto late = std::count_if(times.begin(), times.end(),
+            [&](time_point at) { return at >= times.front() + inFlight && at < times.front() + pauseTime; });
+        EXPECT_LE(late, 2);
+    }
+}
+
 TEST_F(ServerStatementTest, AMalformedPauseStopsNothing)
 {
     backend_standin odd(m_loop,
