--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -95,8 +95,8 @@
     std::unique_ptr<exchange> start(
         const endpoint& server, http_request request, exchange_options options, exchange_listener& listener);
 
-    // Starts an exchange, buffers the whole response, of 8 MiB at most, and passes both to the callback. After a failure
-    // the response is incomplete.
+    // Starts an exchange, buffers the whole response, of 8 MiB at most, and passes both to the callback. After a
+    // failure the response is incomplete.
     using fetch_callback = std::function<void(const exchange_result&, const http_response&)>;
     void fetch(const endpoint& server, http_request request, exchange_options options, fetch_callback callback);
 
