--- a/libs/relay/tests/event_splitter_test.cpp
+++ b/libs/relay/tests/event_splitter_test.cpp
@@ -14,6 +14,14 @@
     return passedOn;
 }
 
+std::string withLineEnds(std::string_view text, const std::string& end)
+{
+    std::string result;
+    for (const char character : text)
+        result += character == '\n' ? end : std::string(1, character);
+    return result;
+}
+
 } // namespace
 
 // Guards against a search of the whole partial event for each piece of it: an event without end, byte by byte, kept the
@@ -41,10 +49,11 @@
 TEST(EventSplitterTest, SplitsAtTheSameEventsForAllLineEnds)
 {
     for (const std::string end : { "\n", "\r\n", "\r" }) {
-        const std::string first = ": hello" + end + "id: 7" + end + "data: a" + end + end;
-        const std::string second = "data: b" + end + "id: 8" + end + end;
-        const std::string cut = "id: 9" + end + "data: c";
-        const std::string stream = first + second + cut;
+        const std::string first = withLineEnds(": hello\nid: 7\ndata: a\n\n", end);
+        const std::string second = withLineEnds("data: b\nid: 8\n\n", end);
+        const std::string cut = withLineEnds("id: 9\ndata: c", end);
+        std::string stream = first;
+        stream.append(second).append(cut);
         for (size_t step = 1; step <= stream.size(); ++step) {
             event_splitter splitter;
             EXPECT_EQ(feedInSteps(splitter, stream, step), first + second) << step;
--- a/standins/tests/planned_stop_test.cpp
+++ b/standins/tests/planned_stop_test.cpp
@@ -30,7 +30,7 @@
             = std::make_unique<daemon_process>("a1", "a", loopbackAddress(21), m_store.address(), m_directory.string());
         m_daemon->start();
     }
-    ~PlannedStopTest() override
+    void TearDown() override
     {
         m_daemon.reset();
         std::filesystem::remove_all(m_directory);
