Say in log and metrics why a run of a stream is not whole

request_ended said stream_cut only, so that bytes of others, events that do not go on and unframed ends could not be told apart from logs. stream_broken_off has the reason, the last event passed on and what is left of the run; pollen_relay_broken_streams_total counts runs by service and reason. No change of what callers get.

--- a/libs/relay/include/relay/relay_metrics.h
+++ b/libs/relay/include/relay/relay_metrics.h
@@ -32,6 +32,8 @@
     void countServerCrash(const std::string& service, const std::string& sign, const std::string& verdict);
     // statement: "leaving", "pause" or "unreadable".
     void countServerStatement(const std::string& service, const std::string& statement);
+    // A server's run of a stream has ended and is not whole, for this reason.
+    void countBrokenStream(const std::string& service, const std::string& reason);
     void observeFirstByte(const std::string& route, const std::string& team, duration latency);
     // Updates the gauges before they are rendered. configurationAge: time since the configuration was last confirmed to
     // be the newest. quarantined: requests that are no longer sent to any server because servers crashed running them.
@@ -49,6 +51,7 @@
     prometheus::Family<prometheus::Counter>& m_repeats;
     prometheus::Family<prometheus::Counter>& m_serverCrashes;
     prometheus::Family<prometheus::Counter>& m_serverStatements;
+    prometheus::Family<prometheus::Counter>& m_brokenStreams;
     prometheus::Family<prometheus::Histogram>& m_latency;
     prometheus::Family<prometheus::Histogram>& m_teamLatency;
     prometheus::Gauge& m_configurationAge;
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -23,8 +23,12 @@
 // Limits for an incomplete event, and for an answer that is read but not forwarded.
 constexpr size_t maximumEventBytes = 256U << 10;
 constexpr size_t maximumDiscardedBytes = 64U << 10;
+// Of what is left of a broken stream.
+constexpr size_t maximumLoggedBytes = 64;
 constexpr duration retryAfterFull = std::chrono::milliseconds(400);
 constexpr const char* stoppingReason = "stopping";
+constexpr const char* streamCutReason = "stream_cut";
+constexpr const char* serverUnreachableReason = "server_unreachable";
 
 // How long requests wait for the first fleet state after a start. Callers allow at least this long for the reading of
 // their request.
@@ -141,7 +145,7 @@
         m_execution = execution_state::MayHaveRun;
     m_exchange.reset();
     releaseServer();
-    discardAnswer();
+    discardAnswer(stoppingReason);
     m_lastReason = stoppingReason;
     if (m_streamStarted) {
         m_request->abort();
@@ -560,7 +564,7 @@
         countAnswer(false);
     }
     releaseServer();
-    discardAnswer();
+    discardAnswer("answer_too_large");
     retryOrFail(notRun ? "not_run" : "answer_too_large", true);
 }
 
@@ -603,9 +607,9 @@
     }
     if (!isWhole(answerEnd(result))) {
         m_dependencies.state.servers().reportFailure(server, m_dependencies.time.now());
-        discardAnswer();
+        discardAnswer(streamCutReason);
         countAnswer(false);
-        retryOrFail("stream_cut", true);
+        retryOrFail(streamCutReason, true);
         return;
     }
     m_dependencies.state.servers().reportSuccess(server);
@@ -636,14 +640,30 @@
     return end;
 }
 
-void relay_exchange::discardAnswer()
+void relay_exchange::discardAnswer(const char* reason)
 {
+    if (!m_discard && isStreamAnswer())
+        recordBrokenStream(reason);
     const bool hasNewEvents = m_events.completeEvents() > m_earlierEvents;
     m_lacksEvent = m_events.isWithinEvent() || (m_lacksEvent && !hasNewEvents);
     m_events.discardPartialEvent();
     m_body.clear();
 }
 
+void relay_exchange::recordBrokenStream(const char* reason)
+{
+    m_dependencies.metrics.countBrokenStream(m_service.text(), reason);
+    if (!m_dependencies.failureLogBudget.take(m_dependencies.time.now()))
+        return;
+    m_dependencies.log.write(log_level::Warning, "stream_broken_off",
+        { { "request", m_traits.id.text() }, { "server", m_serverId.text() }, { "version", m_version.text() },
+            { "attempt", static_cast<int64_t>(m_attempts) }, { "reason", reason },
+            { "events", static_cast<int64_t>(m_events.completeEvents() - m_earlierEvents) },
+            { "last_event", static_cast<int64_t>(m_events.lastEventId().value_or(0)) },
+            { "within_event", m_events.isWithinEvent() },
+            { "rest", m_events.partialEvent().substr(0, maximumLoggedBytes) } });
+}
+
 void relay_exchange::recordAnswerForCrashes()
 {
     const int64_t now = m_dependencies.time.wallMilliseconds();
@@ -706,7 +726,7 @@
     else
         servers.reportFailure(*m_server, now);
     releaseServer();
-    discardAnswer();
+    discardAnswer(toText(result.failure));
     if (result.failure != exchange_failure::ConnectFailed) {
         m_execution = execution_state::MayHaveRun;
         m_runs += result.responseStarted ? 0 : 1;
@@ -730,11 +750,11 @@
     m_exchange.reset();
     m_dependencies.state.servers().reportUnreachable(*m_server, m_dependencies.time.now());
     releaseServer();
-    discardAnswer();
+    discardAnswer(serverUnreachableReason);
     m_execution = execution_state::MayHaveRun;
     m_runs += m_status == 0 ? 1 : 0;
     suspectCrash("unreachable");
-    retryOrFail("server_unreachable", true);
+    retryOrFail(serverUnreachableReason, true);
 }
 
 void relay_exchange::retryOrFail(const char* reason, bool arrived)
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -84,8 +84,10 @@
     // How the answer of the current attempt has ended.
     answer_end answerEnd(const exchange_result& result) const;
     bool isStreamAnswer() const;
-    // Drops what has been read of the current answer and was not passed on.
-    void discardAnswer();
+    // Drops what has been read of the current answer and was not passed on, as the answer has ended for this reason.
+    void discardAnswer(const char* reason);
+    // Logs and counts that the current run of a stream is not whole.
+    void recordBrokenStream(const char* reason);
     bool hasAttemptsLeft() const;
     bool tryEscalation();
     void escalate(const placement_choice& choice, const placement_request& placement);
--- a/libs/relay/src/relay_metrics.cpp
+++ b/libs/relay/src/relay_metrics.cpp
@@ -39,6 +39,10 @@
                              .Name("pollen_relay_server_statements_total")
                              .Help("What servers have said of themselves in answers: that they leave, or pause")
                              .Register(m_registry))
+    , m_brokenStreams(prometheus::BuildCounter()
+                          .Name("pollen_relay_broken_streams_total")
+                          .Help("Runs of streams that servers did not complete, by what shows it")
+                          .Register(m_registry))
     , m_latency(prometheus::BuildHistogram()
                     .Name("pollen_relay_first_byte_seconds")
                     .Help("Time to the first byte of an answer")
@@ -105,6 +109,11 @@
     m_serverStatements.Add({ { "service", service }, { "statement", statement } }).Increment();
 }
 
+void relay_metrics::countBrokenStream(const std::string& service, const std::string& reason)
+{
+    m_brokenStreams.Add({ { "service", service }, { "reason", reason } }).Increment();
+}
+
 void relay_metrics::observeFirstByte(const std::string& route, const std::string& team, duration latency)
 {
     m_teamLatency.Add({ { "team", team } }, latencySeconds).Observe(toSeconds(latency));
