--- a/standins/tests/broken_answer_test.cpp
+++ b/standins/tests/broken_answer_test.cpp
@@ -98,7 +98,8 @@
 class BrokenAnswerTest : public testing::Test {
 protected:
     // Sends a request to a daemon whose only server has this script.
-    told_answer send(const char* target, const std::vector<byte_server::reply>& script)
+    told_answer send(
+        const char* target, const std::vector<byte_server::reply>& script, const http_headers& headers = {})
     {
         store_standin store(m_loop, { "127.0.0.1", 0 });
         byte_server server(m_loop, script);
@@ -109,10 +110,11 @@
         }
         fleet_daemon daemon(m_loop, m_log, m_time, store, "d1", "a");
         EXPECT_TRUE(m_loop.runUntil([&] { return daemon.relay().gateway().ready(); }, patience));
-        const http_request message { "GET", target,
+        http_request message { "GET", target,
             { { "Host", "h.example" }, { "Pollenroute-Request-Id", "id-1" }, { "Pollenroute-Deadline-Ms", "1500" },
                 { "Pollenroute-Key", "key" } },
             "" };
+        message.headers.insert(message.headers.end(), headers.begin(), headers.end());
         std::optional<told_answer> told;
         m_caller.fetch(daemon.address(), message, {}, [&](const exchange_result& result, const http_response& reply) {
             told = told_answer { result.ok(), reply.status, reply.body };
@@ -121,6 +123,24 @@
         return told.value_or(told_answer {});
     }
 
+    struct stream_case {
+        std::string what;
+        std::vector<byte_server::reply> script;
+        told_answer expected;
+        http_headers headers {};
+    };
+    // The router's own errors are compared by their status.
+    void expectTold(const std::vector<stream_case>& cases)
+    {
+        for (const stream_case& item : cases) {
+            told_answer told = send("/s/x", item.script, item.headers);
+            if (told.status != 200)
+                told.body.clear();
+            EXPECT_EQ(told, item.expected)
+                << item.what << ": " << told.complete << ' ' << told.status << ' ' << told.body;
+        }
+    }
+
     event_loop m_loop;
     null_logger m_log;
     os_clock m_time;
@@ -137,11 +157,6 @@
     const std::string rest = event(2) + event(3);
     const std::string whole = event(1) + rest;
     const std::string json = head + "Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
-    struct stream_case {
-        const char* what;
-        std::vector<byte_server::reply> script;
-        told_answer expected;
-    };
     const std::vector<stream_case> cases {
         { "whole, with its connection", { { unframed(whole) } }, { true, 200, whole } },
         { "cut, with its connection", { { unframed(begin) }, { framed(rest) } }, { true, 200, whole } },
@@ -161,13 +176,7 @@
         { "a head alone", { { unframed("") } }, { true, 502, "" } },
         { "half of a head", { { head.substr(0, 40) } }, { true, 502, "" } },
     };
-    for (const stream_case& item : cases) {
-        told_answer told = send("/s/x", item.script);
-        // The router's own error has a body of its own.
-        if (told.status != 200)
-            told.body.clear();
-        EXPECT_EQ(told, item.expected) << item.what << ": " << told.body;
-    }
+    expectTold(cases);
 }
 
 // Guards against ORDER: a stream that broke off within its first event was passed on as a whole body without events,
@@ -184,6 +193,87 @@
     }
 }
 
+// Guards against ORDER: a stream that broke off was told as complete, as bytes that belong to no request ended its last
+// event or were taken for events: a second answer, or lines that are no fields of an event.
+TEST_F(BrokenAnswerTest, BytesOfOthersAreNoPartOfAStream)
+{
+    const std::string cut = event(1) + event(2).substr(0, 9);
+    const std::string rest = event(2) + event(3);
+    const std::string whole = event(1) + rest;
+    const std::string second = framed(whole);
+    const std::string bareHead = "HTTP/1.1 200 OK\r\n\r\n";
+    std::vector<stream_case> cases {
+        { "whole, and nothing is left", { { unframed(whole + second) }, { framed(event(4)) } },
+            { true, 200, whole + event(4) } },
+        { "every answer is followed by a second one", { { unframed(cut + second) } }, { false, 200, event(1) } },
+        { "cut in the first event", { { unframed(event(1).substr(0, 9) + second) } }, { true, 502, "" } },
+    };
+    for (const std::string& foreign :
+        { second, bareHead + whole, std::string("out of order\n\n"), std::string("Error: x\n\n"),
+            std::string("\x01\x02\x7f\n\n"), chunk(whole), std::string("<html>\r\n\r\n") }) {
+        for (const std::string& begin :
+            { event(1), event(1) + "id: 2", event(1) + "id: 2\n", cut, event(1) + "id: 2\ndata: 2\n" }) {
+            cases.push_back({ foreign, { { unframed(begin + foreign) }, { framed(rest) } }, { true, 200, whole } });
+            cases.push_back({ foreign, { { framed(begin + foreign) }, { framed(rest) } }, { true, 200, whole } });
+        }
+    }
+    expectTold(cases);
+}
+
+// Guards against ORDER: pieces that were missing, came twice or belonged to another run were told as one whole stream.
+TEST_F(BrokenAnswerTest, AStreamGoesOnBehindTheLastEventOnly)
+{
+    const std::string whole = event(1) + event(2) + event(3);
+    const byte_server::reply cut { chunk(event(1)), true };
+    const http_headers behindThree { { "Last-Event-Id", "3" } };
+    const told_answer broken { false, 200, event(1) };
+    const std::string weighed = "pollenroute-weight-versions: 2\nid: 2\nevent: text\ndata: 2\ndata: 2\n\n";
+    expectTold({
+        { "from the first event again", { cut, { framed(whole) } }, broken },
+        { "too late", { cut, { framed(event(3)) } }, broken },
+        { "too late, until the close", { cut, { unframed(event(3)) } }, broken },
+        { "and next as it should", { cut, { framed(event(3)) }, { framed(event(2) + event(3)) } },
+            { true, 200, whole } },
+        { "with an event that the caller has",
+            { { chunk(event(1) + event(2)), true }, { framed(event(2) + event(3)) } },
+            { false, 200, event(1) + event(2) } },
+        { "ids fall", { { framed(event(1) + event(2) + event(1)) } }, { false, 200, event(1) + event(2) } },
+        { "an id comes twice", { { framed(event(1) + event(1)) } }, broken },
+        { "an event is left out", { { framed(event(1) + event(3)) } }, broken },
+        { "the first event is left out", { { framed(event(2) + event(3)) } }, { true, 502, "" } },
+        { "no ids", { { framed("data: 1\n\ndata: 2\n\n") } }, { true, 502, "" } },
+        { "no ids, cut", { { chunk("data: 1\n\n"), true }, { framed("data: 1\n\ndata: 2\n\n") } }, { true, 502, "" } },
+        { "an event without an id", { { framed(event(1) + "data: 2\n\n") } }, broken },
+        { "an id that is no number", { { framed(event(1) + "id: 2x\ndata: 2\n\n") } }, broken },
+        { "two ids of one event", { { framed(event(1) + "id: 2\nid: 1\ndata: 2\n\n") } }, broken },
+        { "an event without data", { { framed(event(1) + "id: 2\n\n") } }, broken },
+        { "the caller resumes", { { framed(event(4) + event(5)) } }, { true, 200, event(4) + event(5) }, behindThree },
+        { "the caller resumes, too late", { { framed(event(5)) } }, { true, 502, "" }, behindThree },
+        { "the caller resumes, from the first event", { { framed(whole + event(4)) } }, { true, 502, "" },
+            behindThree },
+        { "the caller resumes, and it is cut", { { chunk(event(4)), true }, { framed(event(5)) } },
+            { true, 200, event(4) + event(5) }, behindThree },
+        { "other fields", { { framed("retry: 9\n\n: hi\n" + event(1) + weighed) } },
+            { true, 200, "retry: 9\n\n: hi\n" + event(1) + weighed } },
+    });
+}
+
+// Guards against ORDER: an answer that holds nothing of a stream was told as the whole of it, or as its end.
+TEST_F(BrokenAnswerTest, OnlyEventsCompleteAStream)
+{
+    const std::string whole = event(1) + event(2);
+    const std::string json = head + "Content-Type: application/json\r\n";
+    const std::string stream = head + "Content-Type: text/event-stream; charset=utf-8\r\nContent-Length: ";
+    expectTold({
+        { "another type", { { json + "Content-Length: 2\r\n\r\n{}" } }, { true, 502, "" } },
+        { "another type, cut", { { json + "\r\n{" } }, { true, 502, "" } },
+        { "another type, and a stream next", { { json + "\r\n{" }, { framed(whole) } }, { true, 200, whole } },
+        { "its type", { { stream + std::to_string(whole.size()) + "\r\n\r\n" + whole } }, { true, 200, whole } },
+        { "empty behind the last event", { { chunk(whole), true }, { framed("") } }, { false, 200, whole } },
+        { "the caller resumes, and it is empty", { { framed("") } }, { true, 502, "" }, { { "Last-Event-Id", "3" } } },
+    });
+}
+
 // Guards against MIXED: a server stops within the head of its answer and closes, and the caller gets a 200.
 TEST_F(BrokenAnswerTest, AnAnswerThatIsCutIsNeverASuccess)
 {
