Take only lines of an event for parts of a stream

Callers got a broken stream as complete, at times with another answer's head in it. Cause: a daemon took each line for a field, so that bytes behind a cut event, of a second answer or of none, were added to it, and their blank line ended it. A line must now be a field of the standard or of the platform, without control characters, and an event's lines must end alike; what comes behind is not read any more, and the stream goes on at another server behind its last event.

--- a/libs/relay/include/relay/answer_end.h
+++ b/libs/relay/include/relay/answer_end.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <relay/stream_fault.h>
 
 namespace pollen {
 
@@ -19,6 +20,8 @@
     body_end body = body_end::Broken;
     // The answer is a stream of events. The fields below say nothing for other answers.
     bool isStream = false;
+    // The body holds bytes that do not belong to the stream.
+    stream_fault fault = stream_fault::None;
     // Complete events of this run, and whether the body ended within one more.
     size_t events = 0;
     bool isWithinEvent = false;
@@ -30,10 +33,10 @@
     friend bool operator==(const answer_end&, const answer_end&) = default;
 };
 
-// Whether the answer is complete, so that it may be passed on as such. Only the blank line shows that an event has
-// ended, whatever the framing says: a server that breaks off may still end its body in order. A stream without any
-// event is not complete either, unless an earlier run has passed on all of them and the framing shows that none is
-// missing.
+// Whether the answer is complete, so that it may be passed on as such. Only a stream's own lines show that an event has
+// ended, whatever the framing says: a server that breaks off may still end its body in order, and what fills it may
+// belong to another answer. A stream without any event is not complete either, unless an earlier run has passed on all
+// of them and the framing shows that none is missing.
 bool isWhole(const answer_end& end);
 
 } // namespace pollen
--- a/libs/relay/include/relay/event_splitter.h
+++ b/libs/relay/include/relay/event_splitter.h
@@ -2,23 +2,33 @@
 
 #include <cstdint>
 #include <optional>
+#include <relay/stream_fault.h>
 #include <string>
 #include <string_view>
 
 namespace pollen {
 
 // Splits a stream of server-sent events into complete events and records the id of the last one. Lines end with LF,
-// CRLF or CR. Each byte is looked at once, in whatever pieces the stream arrives.
+// CRLF or CR. Each byte is looked at once, in whatever pieces the stream arrives. Several servers may continue the
+// stream, each with a run of its own.
 class event_splitter {
 public:
-    // Appends bytes and returns the events that they complete.
+    // extensionField: name of a field that events may have beside those of the standard; empty if there is none.
+    explicit event_splitter(std::string extensionField = {});
+
+    // Appends bytes of the current run and returns the events that they complete. After a fault none are completed.
     std::string feed(std::string_view bytes);
 
+    // The first bytes of the current run that do not belong to the stream.
+    stream_fault fault() const { return m_fault; }
+
     // Bytes behind the last complete event.
     const std::string& partialEvent() const { return m_partialEvent; }
     // Whether these bytes begin an event. Blank lines and whole comments do not.
     bool isWithinEvent() const { return m_hasField || m_lineLength > 0; }
-    void discardPartialEvent();
+
+    // Drops the partial event and the fault of the current run. The next bytes are those of another run.
+    void endRun();
 
     // Id of the last complete event that had one; none before the first such event.
     std::optional<uint64_t> lastEventId() const { return m_lastEventId; }
@@ -30,10 +40,16 @@
     void addToLine(std::string_view text);
     // Returns whether all bytes up to here may be passed on.
     bool endLine();
+    void checkLineEnd(char terminator);
+    void checkField(std::string_view line);
     void readId(std::string_view line);
 
+    std::string m_extensionField;
+    stream_fault m_fault = stream_fault::None;
+    // The byte that ended the first line of this event.
+    std::optional<char> m_lineTerminator;
     std::string m_partialEvent;
-    // Length of the line that is being read, and the part of it that may hold an id.
+    // Length of the line that is being read, and the part of it that holds the field's name and may hold an id.
     size_t m_lineLength = 0;
     std::string m_line;
     // The last byte was a CR that has ended a line. An LF behind it belongs to it.
--- a/libs/relay/include/relay/relay_protocol.h
+++ b/libs/relay/include/relay/relay_protocol.h
@@ -107,6 +107,9 @@
     // The headers of an answer to forward to the caller, without hop-by-hop headers.
     virtual http_headers makeCallerHeaders(const http_headers& headers) const = 0;
 
+    // Name of a field that events of streams may have beside those of the standard.
+    virtual const std::string& eventExtensionField() const = 0;
+
     // Name of the header in which a server echoes the id of the request that it answers.
     virtual const std::string& requestIdHeader() const = 0;
 };
--- a/libs/relay/src/answer_end.cpp
+++ b/libs/relay/src/answer_end.cpp
@@ -8,7 +8,7 @@
         return false;
     if (!end.isStream)
         return true;
-    if (end.isWithinEvent)
+    if (end.fault != stream_fault::None || end.isWithinEvent)
         return false;
     if (end.events > 0)
         return true;
--- a/libs/relay/src/event_splitter.cpp
+++ b/libs/relay/src/event_splitter.cpp
@@ -1,6 +1,7 @@
 #include <relay/event_splitter.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <utility>
 
@@ -9,17 +10,30 @@
 namespace {
 
 constexpr std::string_view idField = "id:";
-// A longer line holds no id.
+constexpr std::array<std::string_view, 4> standardFields { "data", "event", "id", "retry" };
+// A longer line holds no id, and a longer name is none of a field.
 constexpr size_t maximumIdLineBytes = 64;
 
+bool isControlCharacter(char character)
+{
+    constexpr char firstPrintable = 0x20;
+    constexpr char del = 0x7f;
+    return (character >= 0 && character < firstPrintable && character != '\t') || character == del;
+}
+
 } // namespace
 
+event_splitter::event_splitter(std::string extensionField)
+    : m_extensionField(std::move(extensionField))
+{
+}
+
 std::string event_splitter::feed(std::string_view bytes)
 {
     // Length of the bytes that belong to complete events.
     size_t complete = 0;
     size_t at = 0;
-    while (at < bytes.size()) {
+    while (at < bytes.size() && m_fault == stream_fault::None) {
         if (std::exchange(m_afterCarriageReturn, false) && bytes[at] == '\n') {
             // The CR may have ended an event, to which the LF belongs as well.
             const bool endsEvent = at == complete && (complete > 0 || m_partialEvent.empty());
@@ -33,6 +47,7 @@
         if (at == bytes.size())
             break;
         m_afterCarriageReturn = bytes[at] == '\r';
+        checkLineEnd(bytes[at]);
         ++at;
         if (endLine())
             complete = at;
@@ -46,8 +61,10 @@
     return events;
 }
 
-void event_splitter::discardPartialEvent()
+void event_splitter::endRun()
 {
+    m_fault = stream_fault::None;
+    m_lineTerminator.reset();
     m_partialEvent.clear();
     m_line.clear();
     m_lineLength = 0;
@@ -60,16 +77,29 @@
 {
     m_lineLength += text.size();
     m_line += text.substr(0, maximumIdLineBytes - m_line.size());
+    if (std::any_of(text.begin(), text.end(), isControlCharacter))
+        m_fault = stream_fault::ForeignLine;
+}
+
+// The blank line of another answer's head must not end an event that has been cut.
+void event_splitter::checkLineEnd(char terminator)
+{
+    if (!m_lineTerminator)
+        m_lineTerminator = terminator;
+    if (*m_lineTerminator != terminator)
+        m_fault = stream_fault::LineEnd;
 }
 
 bool event_splitter::endLine()
 {
     const std::string line = std::exchange(m_line, {});
     if (std::exchange(m_lineLength, 0) > 0) {
-        m_hasField = m_hasField || !line.starts_with(':');
-        readId(line);
+        checkField(line);
         return false;
     }
+    if (m_fault != stream_fault::None)
+        return false;
+    m_lineTerminator.reset();
     if (std::exchange(m_hasField, false)) {
         ++m_completeEvents;
         m_lastEventId = m_eventId ? m_eventId : m_lastEventId;
@@ -80,6 +110,20 @@
     return m_completeEvents > 0;
 }
 
+void event_splitter::checkField(std::string_view line)
+{
+    if (line.starts_with(':'))
+        return;
+    m_hasField = true;
+    const std::string_view name = line.substr(0, line.find(':'));
+    const bool isStandard = std::find(standardFields.begin(), standardFields.end(), name) != standardFields.end();
+    if (!isStandard && (name.empty() || name != m_extensionField)) {
+        m_fault = stream_fault::ForeignLine;
+        return;
+    }
+    readId(line);
+}
+
 void event_splitter::readId(std::string_view line)
 {
     if (!line.starts_with(idField))
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -27,6 +27,7 @@
 constexpr size_t maximumLoggedBytes = 64;
 constexpr duration retryAfterFull = std::chrono::milliseconds(400);
 constexpr const char* stoppingReason = "stopping";
+constexpr const char* answerTooLargeReason = "answer_too_large";
 constexpr const char* streamCutReason = "stream_cut";
 constexpr const char* serverUnreachableReason = "server_unreachable";
 
@@ -70,6 +71,7 @@
     , m_request(std::move(request))
     , m_start(dependencies.time.now())
     , m_body(dependencies.answerMemory)
+    , m_events(dependencies.protocol.eventExtensionField())
     , m_firstByteTimer(dependencies.usualLatency, dependencies.rollouts, dependencies.rolloutSystem)
     , m_paceTimer(dependencies.usualPace, dependencies.rollouts, dependencies.rolloutSystem)
 {
@@ -534,27 +536,28 @@
     if (m_discard) {
         m_discardedBytes += bytes.size();
         if (m_discardedBytes > maximumDiscardedBytes)
-            stopAnswer();
+            stopAnswer(answerTooLargeReason);
         return;
     }
     if (!isStreamAnswer()) {
         if (!m_body.append(bytes))
-            stopAnswer();
+            stopAnswer(answerTooLargeReason);
         return;
     }
     const size_t eventsBefore = m_events.completeEvents();
     const std::string events = m_events.feed(bytes);
     m_paceTimer.addEvents(m_events.completeEvents() - eventsBefore, m_dependencies.time.now());
-    if (m_events.partialEvent().size() > maximumEventBytes) {
-        stopAnswer();
-        return;
-    }
     if (!events.empty())
         forwardEvents(events);
+    if (m_events.fault() != stream_fault::None)
+        stopAnswer(toText(m_events.fault()));
+    else if (m_events.partialEvent().size() > maximumEventBytes)
+        stopAnswer(answerTooLargeReason);
 }
 
-// Stops reading an answer that exceeds a size limit. Of a rejection, the part that has been read is sufficient.
-void relay_exchange::stopAnswer()
+// Stops reading an answer that exceeds a size limit or is no answer. Of a rejection, the part that has been read is
+// sufficient.
+void relay_exchange::stopAnswer(const char* reason)
 {
     const auto self = shared_from_this();
     m_exchange.reset();
@@ -564,8 +567,8 @@
         countAnswer(false);
     }
     releaseServer();
-    discardAnswer("answer_too_large");
-    retryOrFail(notRun ? "not_run" : "answer_too_large", true);
+    discardAnswer(reason);
+    retryOrFail(notRun ? "not_run" : reason, true);
 }
 
 void relay_exchange::forwardEvents(const std::string& events)
@@ -633,6 +636,7 @@
     if (result.ok())
         end.body = result.endedWithConnection ? body_end::Connection : body_end::Framed;
     end.isStream = !m_discard && isStreamAnswer();
+    end.fault = m_events.fault();
     end.events = m_events.completeEvents() - m_earlierEvents;
     end.isWithinEvent = m_events.isWithinEvent();
     end.isResumed = m_earlierEvents > 0;
@@ -646,7 +650,7 @@
         recordBrokenStream(reason);
     const bool hasNewEvents = m_events.completeEvents() > m_earlierEvents;
     m_lacksEvent = m_events.isWithinEvent() || (m_lacksEvent && !hasNewEvents);
-    m_events.discardPartialEvent();
+    m_events.endRun();
     m_body.clear();
 }
 
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -96,7 +96,7 @@
     // Starts another attempt if the request may be sent again, or fails the request. arrived: the last attempt reached
     // a server.
     void retryOrFail(const char* reason, bool arrived);
-    void stopAnswer();
+    void stopAnswer(const char* reason);
     void forwardEvents(const std::string& events);
     void finishAnswer();
     void onExchangeFailed(const exchange_result& result);
--- /dev/null
+++ b/libs/relay/src/stream_fault.cpp
@@ -0,0 +1,18 @@
+#include <relay/stream_fault.h>
+
+namespace pollen {
+
+const char* toText(stream_fault fault)
+{
+    switch (fault) {
+    case stream_fault::None:
+        return "none";
+    case stream_fault::ForeignLine:
+        return "foreign_line";
+    case stream_fault::LineEnd:
+        return "line_end";
+    }
+    return "none";
+}
+
+} // namespace pollen
--- a/libs/relay/tests/answer_end_test.cpp
+++ b/libs/relay/tests/answer_end_test.cpp
@@ -17,29 +17,34 @@
     constexpr auto framed = body_end::Framed;
     constexpr auto connection = body_end::Connection;
     constexpr auto broken = body_end::Broken;
-    // The fields of answer_end, in their order: body, isStream, events, isWithinEvent, isResumed, lacksEvent.
+    constexpr auto sound = stream_fault::None;
+    // The fields of answer_end, in their order: body, isStream, fault, events, isWithinEvent, isResumed, lacksEvent.
     const std::vector<end_case> cases {
-        { "plain, framed", { framed, false, 0, false, false, false }, true },
-        { "plain, until the close", { connection, false, 0, false, false, false }, true },
-        { "plain, broken", { broken, false, 0, false, false, false }, false },
-        { "stream, framed", { framed, true, 3, false, false, false }, true },
-        { "stream, until the close", { connection, true, 3, false, false, false }, true },
-        { "stream, broken behind an event", { broken, true, 3, false, false, false }, false },
-        { "framed within the first event", { framed, true, 0, true, false, false }, false },
-        { "until the close within the first event", { connection, true, 0, true, false, false }, false },
-        { "broken within the first event", { broken, true, 0, true, false, false }, false },
-        { "framed within a later event", { framed, true, 3, true, false, false }, false },
-        { "until the close within a later event", { connection, true, 3, true, false, false }, false },
-        { "framed without an event", { framed, true, 0, false, false, false }, false },
-        { "until the close without an event", { connection, true, 0, false, false, false }, false },
-        { "resumed, framed", { framed, true, 2, false, true, false }, true },
-        { "resumed, until the close", { connection, true, 2, false, true, true }, true },
-        { "resumed, framed within its first event", { framed, true, 0, true, true, false }, false },
-        { "resumed, framed within a later event", { framed, true, 2, true, true, true }, false },
-        { "resumed behind the last event", { framed, true, 0, false, true, false }, true },
-        { "resumed behind the last event, until the close", { connection, true, 0, false, true, false }, false },
-        { "resumed, without the event that was cut", { framed, true, 0, false, true, true }, false },
-        { "resumed, broken", { broken, true, 2, false, true, false }, false },
+        { "plain, framed", { framed, false, sound, 0, false, false, false }, true },
+        { "plain, until the close", { connection, false, sound, 0, false, false, false }, true },
+        { "plain, broken", { broken, false, sound, 0, false, false, false }, false },
+        { "stream, framed", { framed, true, sound, 3, false, false, false }, true },
+        { "stream, until the close", { connection, true, sound, 3, false, false, false }, true },
+        { "stream, broken behind an event", { broken, true, sound, 3, false, false, false }, false },
+        { "framed within the first event", { framed, true, sound, 0, true, false, false }, false },
+        { "until the close within the first event", { connection, true, sound, 0, true, false, false }, false },
+        { "broken within the first event", { broken, true, sound, 0, true, false, false }, false },
+        { "framed within a later event", { framed, true, sound, 3, true, false, false }, false },
+        { "until the close within a later event", { connection, true, sound, 3, true, false, false }, false },
+        { "framed without an event", { framed, true, sound, 0, false, false, false }, false },
+        { "until the close without an event", { connection, true, sound, 0, false, false, false }, false },
+        { "resumed, framed", { framed, true, sound, 2, false, true, false }, true },
+        { "resumed, until the close", { connection, true, sound, 2, false, true, true }, true },
+        { "resumed, framed within its first event", { framed, true, sound, 0, true, true, false }, false },
+        { "resumed, framed within a later event", { framed, true, sound, 2, true, true, true }, false },
+        { "resumed behind the last event", { framed, true, sound, 0, false, true, false }, true },
+        { "resumed behind the last event, until the close", { connection, true, sound, 0, false, true, false }, false },
+        { "resumed, without the event that was cut", { framed, true, sound, 0, false, true, true }, false },
+        { "lines of others behind an event", { framed, true, stream_fault::ForeignLine, 3, false, false, false },
+            false },
+        { "until the close, lines of others", { connection, true, stream_fault::LineEnd, 3, false, false, false },
+            false },
+        { "resumed, broken", { broken, true, sound, 2, false, true, false }, false },
     };
     for (const end_case& item : cases)
         EXPECT_EQ(isWhole(item.end), item.whole) << item.what;
--- a/libs/relay/tests/event_splitter_test.cpp
+++ b/libs/relay/tests/event_splitter_test.cpp
@@ -61,7 +61,7 @@
             EXPECT_EQ(splitter.completeEvents(), 2U) << step;
             EXPECT_EQ(splitter.lastEventId(), 8U) << step;
             EXPECT_TRUE(splitter.isWithinEvent()) << step;
-            splitter.discardPartialEvent();
+            splitter.endRun();
             EXPECT_FALSE(splitter.isWithinEvent()) << step;
             EXPECT_EQ(feedInSteps(splitter, second, step), second) << step;
         }
