Follow the ids of a stream's events

Callers got streams as complete in which events were missing, came twice or were those of another run: resumed runs that began again, too late or with an event that the caller had, ids that fall or come twice. Cause: events were counted, and their ids only kept for Last-Event-Id. An event now needs data and an id that is one above the last one, from the caller's Last-Event-Id on; else the run is broken, and the stream goes on at another server. AnEventWithoutAValidIdKeepsTheLastId is replaced: it asked that events without an id be passed on. OnlyTheNextEventIsComplete holds nine such events to more: nothing is passed on of them, nor behind them, and the last id stays.

--- a/libs/relay/include/relay/event_splitter.h
+++ b/libs/relay/include/relay/event_splitter.h
@@ -8,13 +8,14 @@
 
 namespace pollen {
 
-// Splits a stream of server-sent events into complete events and records the id of the last one. Lines end with LF,
-// CRLF or CR. Each byte is looked at once, in whatever pieces the stream arrives. Several servers may continue the
-// stream, each with a run of its own.
+// Splits a stream of server-sent events into complete events and checks that they follow each other: their ids rise by
+// one, from the last event that the caller has. Lines end with LF, CRLF or CR. Each byte is looked at once, in whatever
+// pieces the stream arrives. Several servers may continue the stream, each with a run of its own.
 class event_splitter {
 public:
     // extensionField: name of a field that events may have beside those of the standard; empty if there is none.
-    explicit event_splitter(std::string extensionField = {});
+    // callersLastEvent: id of the event behind which the caller resumes; 0 if it has none yet.
+    explicit event_splitter(std::string extensionField = {}, uint64_t callersLastEvent = 0);
 
     // Appends bytes of the current run and returns the events that they complete. After a fault none are completed.
     std::string feed(std::string_view bytes);
@@ -30,8 +31,8 @@
     // Drops the partial event and the fault of the current run. The next bytes are those of another run.
     void endRun();
 
-    // Id of the last complete event that had one; none before the first such event.
-    std::optional<uint64_t> lastEventId() const { return m_lastEventId; }
+    // Id of the last complete event, or of the caller's last one.
+    uint64_t lastEventId() const { return m_lastEventId; }
 
     // Number of complete events so far. Comments alone are none.
     size_t completeEvents() const { return m_completeEvents; }
@@ -42,7 +43,7 @@
     bool endLine();
     void checkLineEnd(char terminator);
     void checkField(std::string_view line);
-    void readId(std::string_view line);
+    void checkId(std::string_view value);
 
     std::string m_extensionField;
     stream_fault m_fault = stream_fault::None;
@@ -56,8 +57,10 @@
     bool m_afterCarriageReturn = false;
     // The event that is being read has a line that is no comment.
     bool m_hasField = false;
-    std::optional<uint64_t> m_eventId;
-    std::optional<uint64_t> m_lastEventId;
+    // And these fields.
+    bool m_hasId = false;
+    bool m_hasData = false;
+    uint64_t m_lastEventId;
     size_t m_completeEvents = 0;
 };
 
--- a/libs/relay/include/relay/relay_protocol.h
+++ b/libs/relay/include/relay/relay_protocol.h
@@ -35,6 +35,8 @@
     std::vector<prompt_part> parts;
     // Identifies the session that the request belongs to; empty if the caller names none.
     std::string session;
+    // Id of the last event that the caller has, if it resumes a stream.
+    std::optional<uint64_t> callersLastEvent {};
 
     friend bool operator==(const request_traits&, const request_traits&) = default;
 };
--- a/libs/relay/include/relay/stream_fault.h
+++ b/libs/relay/include/relay/stream_fault.h
@@ -9,6 +9,10 @@
     ForeignLine,
     // A line of an event ends in another way than those before. An event is written by one writer.
     LineEnd,
+    // An event without an id or without data. Without an id nothing shows where the stream goes on.
+    IncompleteEvent,
+    // An id that does not follow the one before: events are missing, come twice or belong to another run.
+    UnexpectedId,
 };
 
 // For log and metrics.
--- a/libs/relay/src/event_splitter.cpp
+++ b/libs/relay/src/event_splitter.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-constexpr std::string_view idField = "id:";
-constexpr std::array<std::string_view, 4> standardFields { "data", "event", "id", "retry" };
+constexpr std::string_view idField = "id";
+constexpr std::string_view dataField = "data";
+constexpr std::array<std::string_view, 4> standardFields { dataField, "event", idField, "retry" };
 // A longer line holds no id, and a longer name is none of a field.
 constexpr size_t maximumIdLineBytes = 64;
 
@@ -23,8 +24,9 @@
 
 } // namespace
 
-event_splitter::event_splitter(std::string extensionField)
+event_splitter::event_splitter(std::string extensionField, uint64_t callersLastEvent)
     : m_extensionField(std::move(extensionField))
+    , m_lastEventId(callersLastEvent)
 {
 }
 
@@ -70,7 +72,8 @@
     m_lineLength = 0;
     m_afterCarriageReturn = false;
     m_hasField = false;
-    m_eventId.reset();
+    m_hasId = false;
+    m_hasData = false;
 }
 
 void event_splitter::addToLine(std::string_view text)
@@ -100,11 +103,16 @@
     if (m_fault != stream_fault::None)
         return false;
     m_lineTerminator.reset();
-    if (std::exchange(m_hasField, false)) {
+    m_hasField = false;
+    if (m_hasId != m_hasData) {
+        m_fault = stream_fault::IncompleteEvent;
+        return false;
+    }
+    if (std::exchange(m_hasId, false)) {
         ++m_completeEvents;
-        m_lastEventId = m_eventId ? m_eventId : m_lastEventId;
+        ++m_lastEventId;
     }
-    m_eventId.reset();
+    m_hasData = false;
     // What precedes the first event is passed on together with it, so that the caller gets nothing of a server that
     // sends no event.
     return m_completeEvents > 0;
@@ -121,20 +129,20 @@
         m_fault = stream_fault::ForeignLine;
         return;
     }
-    readId(line);
+    m_hasData = m_hasData || name == dataField;
+    if (name == idField)
+        checkId(line.substr(std::min(name.size() + 1, line.size())));
 }
 
-void event_splitter::readId(std::string_view line)
+void event_splitter::checkId(std::string_view value)
 {
-    if (!line.starts_with(idField))
-        return;
-    line.remove_prefix(idField.size());
-    while (line.starts_with(' '))
-        line.remove_prefix(1);
+    if (value.starts_with(' '))
+        value.remove_prefix(1);
     uint64_t id = 0;
-    const auto result = std::from_chars(line.data(), line.data() + line.size(), id);
-    if (result.ec == std::errc())
-        m_eventId = id;
+    const auto [end, problem] = std::from_chars(value.data(), value.data() + value.size(), id);
+    const bool isNumber = problem == std::errc() && end == value.data() + value.size();
+    if (std::exchange(m_hasId, true) || !isNumber || id != m_lastEventId + 1)
+        m_fault = stream_fault::UnexpectedId;
 }
 
 } // namespace pollen
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -69,9 +69,10 @@
 relay_exchange::relay_exchange(relay_dependencies& dependencies, std::shared_ptr<server_request> request)
     : m_dependencies(dependencies)
     , m_request(std::move(request))
+    , m_traits(dependencies.protocol.readRequest(m_request->request()))
     , m_start(dependencies.time.now())
     , m_body(dependencies.answerMemory)
-    , m_events(dependencies.protocol.eventExtensionField())
+    , m_events(dependencies.protocol.eventExtensionField(), m_traits.callersLastEvent.value_or(0))
     , m_firstByteTimer(dependencies.usualLatency, dependencies.rollouts, dependencies.rolloutSystem)
     , m_paceTimer(dependencies.usualPace, dependencies.rollouts, dependencies.rolloutSystem)
 {
@@ -83,7 +84,6 @@
 {
     m_onEnd = std::move(onEnd);
     m_mustEndBy = mustEndBy;
-    m_traits = m_dependencies.protocol.readRequest(m_request->request());
     m_request->setHangUpCallback([self = shared_from_this()] { self->onCallerGone(); });
     admitAndAttempt();
 }
@@ -663,7 +663,7 @@
         { { "request", m_traits.id.text() }, { "server", m_serverId.text() }, { "version", m_version.text() },
             { "attempt", static_cast<int64_t>(m_attempts) }, { "reason", reason },
             { "events", static_cast<int64_t>(m_events.completeEvents() - m_earlierEvents) },
-            { "last_event", static_cast<int64_t>(m_events.lastEventId().value_or(0)) },
+            { "last_event", static_cast<int64_t>(m_events.lastEventId()) },
             { "within_event", m_events.isWithinEvent() },
             { "rest", m_events.partialEvent().substr(0, maximumLoggedBytes) } });
 }
--- a/libs/relay/src/stream_fault.cpp
+++ b/libs/relay/src/stream_fault.cpp
@@ -11,6 +11,10 @@
         return "foreign_line";
     case stream_fault::LineEnd:
         return "line_end";
+    case stream_fault::IncompleteEvent:
+        return "incomplete_event";
+    case stream_fault::UnexpectedId:
+        return "unexpected_id";
     }
     return "none";
 }
--- a/libs/relay/tests/event_splitter_test.cpp
+++ b/libs/relay/tests/event_splitter_test.cpp
@@ -52,10 +52,11 @@
         const std::string first = withLineEnds(": hello\nid: 7\ndata: a\n\n", end);
         const std::string second = withLineEnds("data: b\nid: 8\n\n", end);
         const std::string cut = withLineEnds("id: 9\ndata: c", end);
+        const std::string third = withLineEnds("data: c\nid: 9\n\n", end);
         std::string stream = first;
         stream.append(second).append(cut);
         for (size_t step = 1; step <= stream.size(); ++step) {
-            event_splitter splitter;
+            event_splitter splitter({}, 6);
             EXPECT_EQ(feedInSteps(splitter, stream, step), first + second) << step;
             EXPECT_EQ(splitter.partialEvent(), cut) << step;
             EXPECT_EQ(splitter.completeEvents(), 2U) << step;
@@ -63,7 +64,7 @@
             EXPECT_TRUE(splitter.isWithinEvent()) << step;
             splitter.endRun();
             EXPECT_FALSE(splitter.isWithinEvent()) << step;
-            EXPECT_EQ(feedInSteps(splitter, second, step), second) << step;
+            EXPECT_EQ(feedInSteps(splitter, third, step), third) << step;
         }
     }
 }
--- a/libs/relay/tests/relay_values_test.cpp
+++ b/libs/relay/tests/relay_values_test.cpp
@@ -107,12 +107,23 @@
     }
 }
 
-TEST(EventSplitter, AnEventWithoutAValidIdKeepsTheLastId)
+// Guards against ORDER: events that do not follow the last one were passed on.
+TEST(EventSplitter, OnlyTheNextEventIsComplete)
 {
-    event_splitter splitter;
-    EXPECT_FALSE(splitter.lastEventId());
-    splitter.feed("id: 7\ndata: x\n\ndata: y\n\nid: z\n\n");
-    EXPECT_EQ(splitter.lastEventId(), 7U);
+    for (const char* next :
+        { "data: y\n\n", "id: z\ndata: y\n\n", "id: 7\ndata: y\n\n", "id: 9\ndata: y\n\n", "id: 8\n\n",
+            "id: 1\ndata: y\n\n", "id: 8x\ndata: y\n\n", "id\ndata: y\n\n", "id: 8\nid: 8\ndata: y\n\n" }) {
+        event_splitter splitter({}, 6);
+        EXPECT_EQ(splitter.lastEventId(), 6U);
+        EXPECT_EQ(splitter.feed("id: 7\ndata: x\n\n"), "id: 7\ndata: x\n\n");
+        EXPECT_EQ(splitter.feed(next), "") << next;
+        EXPECT_NE(splitter.fault(), stream_fault::None) << next;
+        EXPECT_EQ(splitter.feed("\nid: 8\ndata: y\n\n"), "") << "nothing behind a fault belongs to the stream";
+        EXPECT_EQ(splitter.lastEventId(), 7U) << next;
+        splitter.endRun();
+        EXPECT_EQ(splitter.feed("id: 8\ndata: y\n\n"), "id: 8\ndata: y\n\n") << next;
+        EXPECT_EQ(splitter.fault(), stream_fault::None) << next;
+    }
 }
 
 TEST(SessionVersions, AnIdleSessionExpires)
