Keep a stream at its silent server if no other can go on

Callers lost streams in their middle beside a change of the configuration (LOST, large site). A daemon cancelled the run of a server that had been silent for 0.8 s once a probe was refused or unanswered, and only then asked for the repeat that it needed to go on elsewhere: with the allowance spent it broke the stream off itself. Now the repeat, an attempt and a server are looked for first; without them the daemon waits on, and probes again. ASilentServerThatRefusesConnectionsKeepsItsStreamIfNoOtherCanGoOn fails before.

--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -746,8 +746,24 @@
     retryOrFail(toText(result.failure), result.failure != exchange_failure::ConnectFailed);
 }
 
+bool relay_exchange::takeContinuation()
+{
+    placement_request placement = makePlacementRequest(m_dependencies, *m_admission.route, m_traits, m_model, m_start);
+    placement.excluded = m_triedServers;
+    const relay_service* service = m_admission.configuration->findService(placement.service);
+    return service && hasAttemptsLeft()
+        && !m_dependencies.crashDetector.mayNotRunAgain(m_admission.fingerprint, m_admission.parts)
+        && chooseServer(placement, *service) && takeRepeat(m_service);
+}
+
 void relay_exchange::onServerUnreachable()
 {
+    // A server that leaves or has enough connections refuses new ones as well, and finishes what runs. A stream that no
+    // other server can go on with has nothing to gain from being cancelled.
+    if (m_streamStarted && !takeContinuation()) {
+        m_silence.onReachable(m_dependencies.time.now());
+        return;
+    }
     m_exchange.reset();
     m_dependencies.state.servers().reportUnreachable(*m_server, m_dependencies.time.now());
     releaseServer();
@@ -755,7 +771,8 @@
     m_execution = execution_state::MayHaveRun;
     m_runs += m_status == 0 ? 1 : 0;
     suspectCrash("unreachable");
-    retryOrFail(serverUnreachableReason, true);
+    // For a stream that has begun, the repeat is taken already.
+    retryOrFail(serverUnreachableReason, !m_streamStarted);
 }
 
 void relay_exchange::retryOrFail(const char* reason, bool arrived)
--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -261,6 +261,31 @@
     EXPECT_EQ(slow.requests().size(), 1U);
 }
 
+// Guards against LOST: a stream was broken off because its silent server refused a probe, although no other server
+// could go on with it. Servers that leave or have enough connections refuse new ones and finish what runs.
+TEST_F(RelayPathTest, ASilentServerThatRefusesConnectionsKeepsItsStreamIfNoOtherCanGoOn)
+{
+    std::vector<std::unique_ptr<timer>> timers;
+    std::unique_ptr<backend_standin> leaving;
+    leaving = std::make_unique<backend_standin>(
+        m_loop, std::vector<behaviour> { [&](const std::shared_ptr<server_request>& request) {
+            request->startStream(200, answerHeaders(*request));
+            request->sendPart(event(1));
+            leaving->stopListening();
+            timers.push_back(std::make_unique<timer>(m_loop, [request] {
+                request->sendPart(event(2) + event(3));
+                request->endStream();
+            }));
+            timers.back()->startOnce(std::chrono::milliseconds(2000));
+        } });
+    list("i-1", "advice", *leaving);
+    start();
+    const auto [result, response] = send(request("POST", "/s/x", { { "Pollenroute-Deadline-Ms", "4000" } }));
+    EXPECT_TRUE(result.ok());
+    EXPECT_EQ(response.body, event(1) + event(2) + event(3));
+    EXPECT_EQ(leaving->requests().size(), 1U);
+}
+
 // And the other way about: stalled streams that sent a byte now and then never ended.
 TEST_F(RelayPathTest, AStalledStreamThatTricklesEndsAtItsDeadline)
 {
