Take the memory of partial events from the budget of answers

Other operators: bytes that are no answer, without end, until the machine ran out of memory. Heads, framing, plain bodies and single events are bounded here (EndlessResponseTest, AnAnswerWithoutEndIsGivenUpBeforeItFillsTheMemory). What was not: partial events of all streams together, 256 KiB each. 120 streams with an event of 200 KiB that does not end held 24.6 MB, beside a budget of 16 MiB for all answers that are buffered; machines have 88 MB and more. They share that budget now.

--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -73,6 +73,7 @@
     , m_start(dependencies.time.now())
     , m_body(dependencies.answerMemory)
     , m_events(dependencies.protocol.eventExtensionField(), m_traits.callersLastEvent.value_or(0))
+    , m_eventMemory(dependencies.answerMemory)
     , m_firstByteTimer(dependencies.usualLatency, dependencies.rollouts, dependencies.rolloutSystem)
     , m_paceTimer(dependencies.usualPace, dependencies.rollouts, dependencies.rolloutSystem)
 {
@@ -169,6 +170,7 @@
     m_exchange.reset();
     releaseServer();
     m_body.clear();
+    m_eventMemory.resize(0);
     m_request->setHangUpCallback(nullptr);
 }
 
@@ -553,9 +555,10 @@
     m_paceTimer.addEvents(m_events.completeEvents() - eventsBefore, m_dependencies.time.now());
     if (!events.empty())
         forwardEvents(events);
+    const size_t partialBytes = m_events.partialEvent().size();
     if (m_events.fault() != stream_fault::None)
         stopAnswer(toText(m_events.fault()));
-    else if (m_events.partialEvent().size() > maximumEventBytes)
+    else if (partialBytes > maximumEventBytes || !m_eventMemory.resize(partialBytes))
         stopAnswer(answerTooLargeReason);
 }
 
@@ -648,6 +651,7 @@
     if (!m_discard && isStreamAnswer())
         recordBrokenStream(reason);
     m_events.endRun();
+    m_eventMemory.resize(0);
     m_body.clear();
 }
 
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -10,6 +10,7 @@
 #include <relay/attempt_history.h>
 #include <relay/event_splitter.h>
 #include <relay/first_byte_timer.h>
+#include <relay/memory_reservation.h>
 #include <relay/pace_timer.h>
 #include <relay/relay_dependencies.h>
 #include <relay/stall_detector.h>
@@ -183,6 +184,8 @@
     http_headers m_headers;
     answer_buffer m_body;
     event_splitter m_events;
+    // For the partial event.
+    memory_reservation m_eventMemory;
     bool m_streamStarted = false;
     // Complete events before the current attempt.
     size_t m_earlierEvents = 0;
--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -607,4 +607,31 @@
     }
 }
 
+// Guards against LOST: many events without end, each within its limit, filled the daemon's memory together.
+TEST_F(RelayPathTest, EventsWithoutEndShareTheMemoryOfAnswers)
+{
+    constexpr size_t callers = 120;
+    constexpr size_t eventBytes = 200U << 10;
+    constexpr size_t memoryOfAnswers = 16U << 20;
+    backend_standin endless(m_loop, { [&](const std::shared_ptr<server_request>& request) {
+        request->startStream(200, answerHeaders(*request));
+        request->sendPart("data: " + std::string(eventBytes, 'x'));
+    } });
+    list("i-1", "advice", endless);
+    start();
+    ASSERT_TRUE(eventually([&] { return m_relay.state().servers().find(instance_id("i-1")).has_value(); }));
+    std::vector<std::unique_ptr<http_client>> clients;
+    for (size_t caller = 0; caller < callers; ++caller) {
+        clients.push_back(std::make_unique<http_client>(m_loop));
+        http_request stream = request("POST", "/s/x", { { "Pollenroute-Deadline-Ms", "4000" } });
+        for (auto& [name, value] : stream.headers)
+            value = name == "Pollenroute-Request-Id" ? "id-" + std::to_string(caller) : value;
+        clients.back()->fetch(m_front.address(), stream, {}, [](const exchange_result&, const http_response&) {});
+    }
+    ASSERT_TRUE(eventually([&] { return endless.requests().size() >= callers; }));
+    m_loop.runUntil([] { return false; }, std::chrono::milliseconds(500));
+    EXPECT_LE((endless.requests().size() - endless.hungUp) * eventBytes, memoryOfAnswers);
+    EXPECT_GT(endless.requests().size(), endless.hungUp);
+}
+
 } // namespace pollen
