Take a refused connection for no sign of death while the server leaves

Cause, from a play of the code before with the result of each probe logged: 4,587 probes accepted, 37 refused, 3 unanswered. Servers that leave take no new connections and finish what runs; the daemon cancelled each stream that was silent for 0.8 s just then. ALeavingServerThatRefusesConnectionsKeepsItsStream fails before: the stream ran at the other server as well.

--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -131,7 +131,7 @@
             const auto self = weak.lock();
             if (!self || !self->m_exchange || self->m_attempts != attempt)
                 return;
-            if (result == probe_result::Accepted)
+            if (result == probe_result::Accepted || (result == probe_result::Refused && self->isServerLeaving()))
                 self->m_silence.onReachable(time.now());
             else
                 self->onServerUnreachable();
@@ -750,6 +750,9 @@
     retryOrFail(toText(result.failure), result.failure != exchange_failure::ConnectFailed);
 }
 
+// Such a server takes no new connections and finishes what runs.
+bool relay_exchange::isServerLeaving() const { return m_dependencies.state.servers().row(*m_server).leaving; }
+
 bool relay_exchange::takeContinuation()
 {
     placement_request placement = makePlacementRequest(m_dependencies, *m_admission.route, m_traits, m_model, m_start);
@@ -762,8 +765,8 @@
 
 void relay_exchange::onServerUnreachable()
 {
-    // A server that leaves or has enough connections refuses new ones as well, and finishes what runs. A stream that no
-    // other server can go on with has nothing to gain from being cancelled.
+    // A probe is no proof: servers that have enough connections refuse new ones as well. A stream that no other server
+    // can go on with has nothing to gain from being cancelled.
     if (m_streamStarted && !takeContinuation()) {
         m_silence.onReachable(m_dependencies.time.now());
         return;
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -122,6 +122,7 @@
     void recordAttemptEnd(const char* reason);
     // A probe has found that the silent server no longer accepts connections.
     void onServerUnreachable();
+    bool isServerLeaving() const;
     // Another server may go on with the stream. Takes one repeat from the daemon's allowance if so.
     bool takeContinuation();
     void end(const std::string& outcome);
--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -286,6 +286,37 @@
     EXPECT_EQ(leaving->requests().size(), 1U);
 }
 
+// Guards against LOST: streams of servers that leave were cancelled, all at once, as such servers refuse new
+// connections while they finish what runs.
+TEST_F(RelayPathTest, ALeavingServerThatRefusesConnectionsKeepsItsStream)
+{
+    std::vector<std::unique_ptr<timer>> timers;
+    std::unique_ptr<backend_standin> leaving;
+    leaving = std::make_unique<backend_standin>(
+        m_loop, std::vector<behaviour> { [&](const std::shared_ptr<server_request>& request) {
+            request->startStream(200, answerHeaders(*request));
+            request->sendPart(event(1));
+            leaving->stopListening();
+            m_store.put("keyed.servers", "i-1", serverEntry("advice", leaving->address(), "draining"));
+            timers.push_back(std::make_unique<timer>(m_loop, [request] {
+                request->sendPart(event(2) + event(3));
+                request->endStream();
+            }));
+            timers.back()->startOnce(std::chrono::milliseconds(2000));
+        } });
+    backend_standin other(m_loop, { streams(3, true) });
+    list("i-1", "advice", *leaving);
+    start();
+    std::optional<std::string> told;
+    m_caller.fetch(m_front.address(), request("POST", "/s/x", { { "Pollenroute-Deadline-Ms", "4000" } }), {},
+        [&](const exchange_result&, const http_response& response) { told = response.body; });
+    ASSERT_TRUE(eventually([&] { return leaving->requests().size() == 1; }));
+    list("i-2", "advice", other);
+    ASSERT_TRUE(eventually([&] { return told.has_value(); }));
+    EXPECT_EQ(*told, event(1) + event(2) + event(3));
+    EXPECT_EQ(other.requests().size(), 0U);
+}
+
 // And the other way about: stalled streams that sent a byte now and then never ended.
 TEST_F(RelayPathTest, AStalledStreamThatTricklesEndsAtItsDeadline)
 {
