Take no second answer for the rest of a plain one

A plain answer that is cut or has no length and is followed by a second one on its connection was told as one whole body, head and all (MIXED). Same cause as for streams: the framing alone said which bytes belong to an answer. A body that holds a status line and behind it the header that echoes the request's id is not whole: what may be repeated is, anything else is answered 502. Bytes that are no answer behind a plain body without a length still cannot be told from it.

--- a/libs/relay/include/relay/answer_end.h
+++ b/libs/relay/include/relay/answer_end.h
@@ -18,6 +18,8 @@
 // What is known of a server's answer once its body has ended.
 struct answer_end {
     body_end body = body_end::Broken;
+    // The body of a plain answer holds another answer.
+    bool holdsOtherAnswer = false;
     // The answer is a stream of events. The fields below say nothing for other answers.
     bool isStream = false;
     // The body holds bytes that do not belong to the stream.
--- a/libs/relay/src/answer_end.cpp
+++ b/libs/relay/src/answer_end.cpp
@@ -7,7 +7,7 @@
     if (end.body == body_end::Broken)
         return false;
     if (!end.isStream)
-        return true;
+        return !end.holdsOtherAnswer;
     return end.fault == stream_fault::None && !end.isWithinEvent && end.events > 0;
 }
 
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -4,6 +4,7 @@
 #include "request_target.h"
 
 #include <algorithm>
+#include <relay/response_head.h>
 
 namespace pollen {
 
@@ -29,6 +30,7 @@
 constexpr const char* stoppingReason = "stopping";
 constexpr const char* answerTooLargeReason = "answer_too_large";
 constexpr const char* streamCutReason = "stream_cut";
+constexpr const char* otherAnswerReason = "holds_other_answer";
 constexpr const char* serverUnreachableReason = "server_unreachable";
 
 // How long requests wait for the first fleet state after a start. Callers allow at least this long for the reading of
@@ -617,9 +619,10 @@
     }
     if (!isWhole(answerEnd(result))) {
         m_dependencies.state.servers().reportFailure(server, m_dependencies.time.now());
-        discardAnswer(streamCutReason);
+        const char* reason = isStreamAnswer() ? streamCutReason : otherAnswerReason;
+        discardAnswer(reason);
         countAnswer(false);
-        retryOrFail(streamCutReason, true);
+        retryOrFail(reason, true);
         return;
     }
     m_dependencies.state.servers().reportSuccess(server);
@@ -639,6 +642,7 @@
     answer_end end;
     if (result.ok())
         end.body = result.endedWithConnection ? body_end::Connection : body_end::Framed;
+    end.holdsOtherAnswer = holdsResponseHead(m_body.text(), m_dependencies.protocol.requestIdHeader());
     end.isStream = !m_discard && isStreamAnswer();
     end.fault = m_events.fault();
     end.events = m_events.completeEvents() - m_earlierEvents;
--- a/standins/tests/broken_answer_test.cpp
+++ b/standins/tests/broken_answer_test.cpp
@@ -274,6 +274,21 @@
     });
 }
 
+// Guards against MIXED: a second answer on the connection was taken for the rest of a plain answer.
+TEST_F(BrokenAnswerTest, ASecondAnswerIsNoPartOfAPlainOne)
+{
+    const std::string second = framed("done");
+    const std::string page = "see HTTP/1.1 of 1997";
+    for (const std::string& begin : { std::string("done"), std::string("do"), std::string("do\r\n") }) {
+        for (const std::string& mixed : { unframed(begin + second), framed(begin + second),
+                 chunk(begin + second) + "0\r\n\r\n", unframed(begin + second.substr(0, second.size() - 6)) }) {
+            EXPECT_EQ(send("/r/x", { { mixed }, { framed("done") } }), (told_answer { true, 200, "done" })) << mixed;
+            EXPECT_EQ(send("/o/x", { { mixed } }).status, 502) << mixed;
+        }
+    }
+    EXPECT_EQ(send("/o/x", { { framed(page) } }), (told_answer { true, 200, page }));
+}
+
 // Guards against MIXED: a server stops within the head of its answer and closes, and the caller gets a 200.
 TEST_F(BrokenAnswerTest, AnAnswerThatIsCutIsNeverASuccess)
 {
