--- a/libs/relay/include/relay/relay_protocol.h
+++ b/libs/relay/include/relay/relay_protocol.h
@@ -58,6 +58,8 @@
     bool notRun = false;
     // The request reached another server: the address has been reassigned.
     bool misdirected = false;
+    // The answer has the server's signature and an uncoded body. A success without them is not the server's answer.
+    bool isAuthentic = false;
     // The server declares a content type other than an event stream.
     bool declaresNoStream = false;
     // The server accepts no further requests on this connection, for example because it is shutting down.
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -427,6 +427,10 @@
         || (failed && m_admission.route->mayRepeat() && hasAttemptsLeft());
     if (m_streamStarted && isStreamAnswer() && !notRun)
         m_discard = false;
+    if (!m_discard && isSuccess(status) && !m_answer.isAuthentic) {
+        stopAnswer("not_authentic");
+        return;
+    }
     if (!m_discard && isStreamAnswer() && m_answer.declaresNoStream) {
         stopAnswer(toText(stream_fault::OtherType));
         return;
--- a/standins/tests/broken_answer_test.cpp
+++ b/standins/tests/broken_answer_test.cpp
@@ -289,6 +289,20 @@
     EXPECT_EQ(send("/o/x", { { framed(page) } }), (told_answer { true, 200, page }));
 }
 
+// Guards against MIXED: a success without the server's signature, or with a coded body, was passed on as the server's.
+TEST_F(BrokenAnswerTest, ASuccessThatIsNotTheServersIsNotPassedOn)
+{
+    const std::string unsignedHead = "HTTP/1.1 200 OK\r\nPollenroute-Request-Id: id-1\r\n";
+    const std::string whole = event(1) + event(2);
+    for (const std::string& foreign : { unsignedHead + "Content-Length: 4\r\n\r\ndone",
+             unsignedHead + "\r\n" + event(1), head + "Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\ndone" }) {
+        EXPECT_EQ(send("/r/x", { { foreign }, { framed("done") } }), (told_answer { true, 200, "done" })) << foreign;
+        EXPECT_EQ(send("/o/x", { { foreign } }).status, 502) << foreign;
+        EXPECT_EQ(send("/s/x", { { foreign }, { framed(whole) } }), (told_answer { true, 200, whole })) << foreign;
+    }
+    EXPECT_EQ(send("/r/x", { { head + "Content-Encoding: identity\r\nContent-Length: 4\r\n\r\ndone" } }).status, 200);
+}
+
 // Guards against MIXED: a server stops within the head of its answer and closes, and the caller gets a 200.
 TEST_F(BrokenAnswerTest, AnAnswerThatIsCutIsNeverASuccess)
 {
