Do not look up the route of a request that has none yet

The status is looked at first; it is set only once a server has answered. WhatWaitsForTheFirstFleetStateIsRefusedByADaemonThatStops crashed before, passes now.

--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -639,7 +639,8 @@
     finishAnswer();
 }
 
-bool relay_exchange::isStreamAnswer() const { return m_admission.route->streaming && isSuccess(m_status); }
+// Before the first answer there may be no route yet.
+bool relay_exchange::isStreamAnswer() const { return isSuccess(m_status) && m_admission.route->streaming; }
 
 answer_end relay_exchange::answerEnd(const exchange_result& result) const
 {
--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -593,6 +593,20 @@
     EXPECT_TRUE(eventually([&] { return desk.hungUp == 1; }));
 }
 
+// Guards against a crash: a daemon that stopped while requests waited for its first fleet state looked up their route.
+TEST_F(RelayPathTest, WhatWaitsForTheFirstFleetStateIsRefusedByADaemonThatStops)
+{
+    const store_standin empty(m_loop, { "127.0.0.1", 0 });
+    fleet_daemon daemon(m_loop, m_log, m_time, empty, "d2", "a");
+    std::optional<int> status;
+    m_caller.fetch(daemon.address(), request("GET", "/r/x"), {},
+        [&](const exchange_result&, const http_response& response) { status = response.status; });
+    ASSERT_TRUE(eventually([&] { return daemon.relay().gateway().openRequests() == 1; }));
+    daemon.relay().gateway().endOpenRequests();
+    ASSERT_TRUE(eventually([&] { return status.has_value(); }));
+    EXPECT_EQ(*status, 503);
+}
+
 // Guards against an answer without end, which filled the daemon's memory until the platform killed it.
 TEST_F(RelayPathTest, AnAnswerWithoutEndIsGivenUpBeforeItFillsTheMemory)
 {
