--- a/libs/relay/src/response_head.cpp
+++ b/libs/relay/src/response_head.cpp
@@ -22,7 +22,8 @@
     const size_t statusLine = body.find(statusLineBegin);
     if (statusLine == std::string_view::npos)
         return false;
-    const std::string headerLine = "\n" + std::string(echoHeader) + ":";
+    std::string headerLine = "\n";
+    headerLine.append(echoHeader).append(":");
     const std::string_view head = body.substr(statusLine);
     return std::search(head.begin(), head.end(), headerLine.begin(), headerLine.end(), equalNoCase) != head.end();
 }
