--- a/standins/tests/relay_path_test.cpp
+++ b/standins/tests/relay_path_test.cpp
@@ -265,7 +265,7 @@
 // onBegun is called when it has fallen silent.
 class refusing_server {
 public:
-    refusing_server(event_loop& loop, std::function<void()> onBegun)
+    refusing_server(event_loop& loop, const std::function<void()>& onBegun)
         : m_server(loop, { [this, &loop, onBegun](const std::shared_ptr<server_request>& request) {
             request->startStream(200, answerHeaders(*request));
             request->sendPart(event(1));
