Log what answering other daemons costs a leader, and how late its loop is

What could not be told apart from logs: whether a leader that its members call silent has no processor left, has its link full, or waits itself. Each daemon that answers eight requests or more within a second writes a line sync_load: requests, bytes of requests and replies, time by part, age of its state. topic_outdated and topic_current tell when the configuration or the entries of servers become older than a daemon accepts from others; loop_late, when a tick comes more than 100 ms late. No logic changes.

--- a/apps/pollenrouted/platform_daemon.cpp
+++ b/apps/pollenrouted/platform_daemon.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr duration tickInterval = std::chrono::milliseconds(50);
+// A tick that comes later than this shows that the loop has more to do than the instance's processor allows.
+constexpr duration maximumTickDelay = std::chrono::milliseconds(100);
+constexpr double delayLogLinesPerSecond = 2;
 // The balancer asks once a second and turns away after two misses.
 constexpr duration balancerReaction = std::chrono::milliseconds(2500);
 // What is left of the platform's grace for the process to end, and for the last answers to be sent before it does.
@@ -46,6 +49,8 @@
     bool hasEndedRequests = false;
     bool ready = false;
     bool clean = true;
+    std::optional<time_point> lastTick;
+    log_budget delayLogBudget { delayLogLinesPerSecond };
 };
 
 platform_daemon::platform_daemon(
@@ -90,6 +95,10 @@
 {
     parts& p = *m_parts;
     const time_point now = p.time.now();
+    const duration late = p.lastTick ? now - *p.lastTick - tickInterval : duration(0);
+    p.lastTick = now;
+    if (late > maximumTickDelay && p.delayLogBudget.take(now))
+        p.log.write(log_level::Warning, "loop_late", { { "late_ms", toMilliseconds(late) } });
     p.relay.tick(now);
     if (const auto& configuration = p.relay.state().configuration())
         p.callerServer->setLimits(toServerLimits(configuration->configuration().limits));
--- a/libs/relay/include/relay/fleet_sync.h
+++ b/libs/relay/include/relay/fleet_sync.h
@@ -10,6 +10,7 @@
 #include <relay/fleet_store.h>
 #include <relay/fleet_sync_message.h>
 #include <relay/rollout_system.h>
+#include <relay/sync_load.h>
 
 namespace pollen {
 
@@ -115,6 +116,10 @@
     void setUpstream(const instance_id& peer);
     std::string handleRequest(const std::string& bytes);
     duration stateAge(time_point now) const;
+    // Logs what the requests of others have cost since the last call, and when a topic becomes too old or is current
+    // again.
+    void reportLoad(time_point now);
+    void reportAges(time_point now);
     std::vector<server_work> ownWork() const;
     // Pending work of all daemons of the group except one, including this daemon's own.
     std::vector<server_work> workExcluding(const instance_id& daemon, time_point now) const;
@@ -153,6 +158,10 @@
     // Topics of which changes have been omitted, and since when.
     std::map<size_t, time_point> m_omittedSince;
     size_t m_consecutiveFailures = 0;
+    sync_load m_load;
+    time_point m_nextLoadReport {};
+    // Topics that are older than a daemon accepts from others.
+    std::set<size_t> m_outdatedTopics;
     std::shared_ptr<bool> m_aliveToken;
 };
 
--- a/libs/relay/src/fleet_sync.cpp
+++ b/libs/relay/src/fleet_sync.cpp
@@ -41,6 +41,32 @@
 // How often, and for how long, a daemon that backs off polls the store.
 constexpr duration probeInterval = std::chrono::seconds(4);
 constexpr duration probeDuration = std::chrono::milliseconds(400);
+constexpr duration loadReportInterval = std::chrono::seconds(1);
+// Daemons that answer fewer requests within the interval do not report them.
+constexpr uint64_t minimumReportedRequests = 8;
+// The first topics, configuration and servers, are read at all times; the others only while they are needed.
+constexpr size_t alwaysReadTopics = 2;
+
+// Adds the time since it was made, or since the last lap, to the given sum.
+class lap_timer {
+public:
+    explicit lap_timer(const clock& time)
+        : m_time(time)
+        , m_start(time.now())
+    {
+    }
+
+    void addTo(duration& sum)
+    {
+        const time_point now = m_time.now();
+        sum += now - std::exchange(m_start, now);
+    }
+
+private:
+    const clock& m_time;
+    time_point m_start;
+};
+
 
 topic_change withoutLargeRecords(topic_change change)
 {
@@ -86,6 +112,8 @@
     updateLeadership(now);
     noticeStoreLoss(now);
     dropSilentRequests(now);
+    reportAges(now);
+    reportLoad(now);
     const bool isLate = m_pending.size() == 1 && now - m_pending.front().sentAt >= hedgeDelay;
     if (isLate && !m_pending.front().acceptsLarge) {
         if (const auto hedge = chooseHedge(now))
@@ -294,6 +322,41 @@
     return m_upstream.empty() ? m_isLeader && !m_store.isReachable() : hasLostStore(m_upstream, now);
 }
 
+void fleet_sync::reportLoad(time_point now)
+{
+    if (now < m_nextLoadReport)
+        return;
+    m_nextLoadReport = now + loadReportInterval;
+    const sync_load load = std::exchange(m_load, {});
+    if (load.requests < minimumReportedRequests)
+        return;
+    m_log.write(log_level::Info, "sync_load",
+        { { "leader", m_isLeader }, { "members", static_cast<int64_t>(m_members.size()) },
+            { "requests", load.requests }, { "request_bytes", static_cast<int64_t>(load.requestBytes) },
+            { "reply_bytes", static_cast<int64_t>(load.replyBytes) }, { "changes_us", load.changes.count() },
+            { "totals_us", load.totals.count() }, { "work_us", load.work.count() },
+            { "coding_us", load.coding.count() }, { "state_age_ms", toMilliseconds(stateAge(now)) } });
+}
+
+void fleet_sync::reportAges(time_point now)
+{
+    const std::vector<shared_topic*> topics = m_store.topics();
+    for (size_t i = 0; i < topics.size(); ++i) {
+        if (!topics[i]->isSynced() || i >= alwaysReadTopics)
+            continue;
+        const bool isOutdated = now - topics[i]->asOf() > m_limits.maximumPeerAge;
+        if (isOutdated == m_outdatedTopics.contains(i))
+            continue;
+        if (isOutdated)
+            m_outdatedTopics.insert(i);
+        else
+            m_outdatedTopics.erase(i);
+        m_log.write(log_level::Info, isOutdated ? "topic_outdated" : "topic_current",
+            { { "topic", static_cast<int64_t>(i) }, { "upstream", m_upstream.text() }, { "leader", m_isLeader },
+                { "position", topics[i]->position().offset } });
+    }
+}
+
 duration fleet_sync::stateAge(time_point now) const
 {
     duration age { 0 };
@@ -504,8 +567,12 @@
 std::string fleet_sync::handleRequest(const std::string& bytes)
 {
     const time_point now = m_time.now();
+    lap_timer lap(m_time);
+    ++m_load.requests;
+    m_load.requestBytes += bytes.size();
     try {
         const fleet_sync_request request = decodeFleetSyncRequest(bytes);
+        lap.addTo(m_load.coding);
         const std::vector<shared_topic*> topics = m_store.topics();
         if (request.topics.size() != topics.size())
             return {};
@@ -517,6 +584,7 @@
                 return {};
             reply.changes.push_back(request.acceptsLarge ? *change : withoutLargeRecords(*change));
         }
+        lap.addTo(m_load.changes);
         for (const rollout_report& report : request.reports)
             m_rollouts.receiveMemberReport(report, request.sender, now);
         for (const crash_report& report : request.crashes)
@@ -526,11 +594,16 @@
         if (request.isMember) {
             m_members[request.sender] = { request.work, now };
             reply.totals = m_rollouts.totalReports(now);
+            lap.addTo(m_load.totals);
             reply.work = workExcluding(request.sender, now);
+            lap.addTo(m_load.work);
         }
         reply.crashes = m_crashTable.unstored();
         reply.rateLimits = m_rateLimits.notices(now);
-        return encodeFleetSyncReply(reply);
+        std::string encoded = encodeFleetSyncReply(reply);
+        lap.addTo(m_load.coding);
+        m_load.replyBytes += encoded.size();
+        return encoded;
     } catch (const fleet_sync_error& problem) {
         m_log.write(log_level::Warning, "view_request_unreadable", { { "problem", problem.what() } });
         return {};
