Let the cost of a topic's changes and of roll-out counts follow what is new

For each request of each member, a leader looked at all records of all topics, twice over for the digest of carried ones, and added up the counts of all daemons for each roll-out.

Topics keep their records by position and the digest of carried ones as they change; a change is read from the position on. Roll-out reports keep their sum, to which a newer report adds its difference; members get totals that are at most 50 ms old. Daemons of the release before get no answer (sync-4) and read the store.

--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -19,7 +19,7 @@
 constexpr const char* peerSecret = "pollenroute";
 // Prefixes of the messages between daemons. The prefix changes with the format, so that daemons of two releases give
 // each other no answer and read the store instead.
-constexpr const char* fleetSyncChannel = "sync-3:";
+constexpr const char* fleetSyncChannel = "sync-4:";
 constexpr const char* permitChannel = "permit:";
 // Within the 32 MB that the users give a daemon for control; the smallest instance of today has 88 MB.
 constexpr size_t answerMemoryBytes = 16U << 20;
--- a/libs/relay/include/relay/rollout_evidence.h
+++ b/libs/relay/include/relay/rollout_evidence.h
@@ -26,6 +26,8 @@
 
     uint64_t completed() const { return good + bad; }
     version_answers& operator+=(const version_answers& other);
+    // other: must have been added before.
+    version_answers& operator-=(const version_answers& other);
 
     friend bool operator==(const version_answers&, const version_answers&) = default;
 };
@@ -57,6 +59,8 @@
     const std::vector<route_answers>& routes() const { return m_routes; }
 
     rollout_evidence& operator+=(const rollout_evidence& other);
+    // other: must have been added before.
+    rollout_evidence& operator-=(const rollout_evidence& other);
 
     friend bool operator==(const rollout_evidence&, const rollout_evidence&) = default;
 
--- a/libs/relay/include/relay/rollout_reports.h
+++ b/libs/relay/include/relay/rollout_reports.h
@@ -34,6 +34,9 @@
     // The reports on a roll-out, in a fixed order. Valid until the next change.
     std::vector<const received_report*> find(const service_name& service, const version_name& target) const;
 
+    // The counts of all reports on a roll-out, summed up as reports arrive.
+    const rollout_evidence& evidence(const service_name& service, const version_name& target) const;
+
     // Drops what is kept for other roll-outs of the service than this one; for all if the target is empty.
     void keepOnly(const service_name& service, const version_name& target);
 
@@ -42,9 +45,10 @@
     using key = std::tuple<service_name, version_name, instance_id, uint64_t>;
 
     std::map<key, received_report> m_reports;
+    std::map<std::pair<service_name, version_name>, rollout_evidence> m_evidence;
 };
 
-// Adds the counts of a report to the total. Requests in progress are added if isCurrent.
+// Adds what a report says to the total, without its counts. Requests in progress are added if isCurrent.
 void addReport(rollout_report& total, const rollout_report& report, bool isCurrent);
 
 } // namespace pollen
--- a/libs/relay/include/relay/rollout_system.h
+++ b/libs/relay/include/relay/rollout_system.h
@@ -4,6 +4,7 @@
 #include <fleet/fleet_system.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <relay/fleet_store.h>
 #include <relay/rollout_reports.h>
 #include <relay/rollout_trial.h>
@@ -36,8 +37,9 @@
 
     // The counts of this daemon and those that others have sent it of themselves, for each running roll-out.
     std::vector<rollout_report> memberReports(time_point now) const;
-    // The counts of all daemons that are known here, one report for each running roll-out.
-    std::vector<rollout_report> totalReports(time_point now) const;
+    // The counts of all daemons that are known here, one report for each running roll-out. Summed up at most once
+    // within a short time, as all members of a group ask for them. Valid until the next call.
+    const std::vector<rollout_report>& totalReports(time_point now);
 
     // Counts a request sent to a server; ignored, like the counts below, unless a roll-out of the service is running.
     void countSent(const rollout_subject& subject);
@@ -88,6 +90,9 @@
     // When each leader has published last.
     std::map<std::pair<instance_id, service_name>, time_point> m_leaders;
     std::map<service_name, received_report> m_totals;
+    // For the members, and when they were summed up.
+    std::vector<rollout_report> m_totalReports;
+    std::optional<time_point> m_totalReportsAt;
     time_point m_nextReport {};
     time_point m_nextPublish {};
     std::shared_ptr<bool> m_publishPending;
--- a/libs/relay/include/relay/shared_topic.h
+++ b/libs/relay/include/relay/shared_topic.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <relay/topic_change.h>
 #include <relay/topic_listener.h>
 #include <set>
+#include <tuple>
 
 namespace pollen {
 
@@ -29,6 +31,8 @@
         , m_lapse(lapse)
     {
     }
+    shared_topic(const shared_topic&) = delete;
+    shared_topic& operator=(const shared_topic&) = delete;
 
     // Applies one record; a record that is not newer than the known one of its key is ignored.
     void apply(const topic_record& record);
@@ -43,11 +47,25 @@
     bool isSynced() const { return m_isSynced; }
     // Position after the last known record.
     const log_position& position() const { return m_position; }
-    topic_state state() const { return { m_position, carriedDigest() }; }
+    topic_state state() const { return { m_position, m_carriedDigest }; }
     time_point asOf() const { return m_asOf; }
 
+    // Bounds of a change in bytes of keys and values.
+    struct change_limits {
+        // A change beyond this is omitted.
+        size_t total = SIZE_MAX;
+        // A change beyond this is sent in parts, unless it is a single record or a snapshot.
+        size_t part = SIZE_MAX;
+    };
+
     // Changes for a daemon that knows the topic as far as the given state; none while the topic has not been synced.
-    std::optional<topic_change> changeSince(const topic_state& known, time_point now) const;
+    // The cost depends on the records sent, not on the topic.
+    std::optional<topic_change> changeSince(
+        const topic_state& known, time_point now, const change_limits& limits) const;
+    std::optional<topic_change> changeSince(const topic_state& known, time_point now) const
+    {
+        return changeSince(known, now, {});
+    }
 
     // Applies the changes that another daemon sent. requestedAt: when the request was sent.
     void apply(const topic_change& change, time_point requestedAt);
@@ -61,14 +79,43 @@
     // Whether a record of the copy belongs to a key that had lapsed before the restore.
     bool hadLapsed(const topic_record& record) const;
     void store(const topic_record& record);
-    uint64_t carriedDigest() const;
+    // Insert, replace and erase records together with what is derived from them.
+    void put(const topic_record& record);
+    void erase(std::map<std::string, topic_record>::iterator position);
+    // Adds a record to the derived members, or removes it from them.
+    void index(const topic_record& record);
+    void unindex(const topic_record& record);
+    void setPosition(const log_position& position);
     void dropUnconfirmed();
     void acceptDoubtful();
     void discardTombstones();
 
     topic_listener& m_listener;
     std::optional<lapse_times> m_lapse;
+    struct position_order {
+        bool operator()(const topic_record* left, const topic_record* right) const
+        {
+            return std::tie(left->position, left->key) < std::tie(right->position, right->key);
+        }
+        using is_transparent = void;
+        bool operator()(const topic_record* record, const log_position& position) const
+        {
+            return record->position < position;
+        }
+    };
+    using records_by_position = std::set<const topic_record*, position_order>;
+    // The first record of the current era; those before it are carried.
+    records_by_position::const_iterator firstOfEra() const
+    {
+        return m_byPosition.lower_bound(log_position { m_position.era, 0 });
+    }
+
     std::map<std::string, topic_record> m_records;
+    // The same records.
+    records_by_position m_byPosition;
+    size_t m_tombstones = 0;
+    // Digest of the carried records.
+    uint64_t m_carriedDigest = 0;
     // Records of the current era that contradict carried ones, for topics whose keys lapse.
     std::map<std::string, topic_record> m_doubtful;
     bool m_isSynced = false;
--- a/libs/relay/include/relay/topic_change.h
+++ b/libs/relay/include/relay/topic_change.h
@@ -26,6 +26,8 @@
     std::vector<topic_record> records;
     // The records are too large to be sent to each member of a group; the receiver reads the store instead.
     bool isOmitted = false;
+    // More changes follow. The position is that of the first record left out, and the age says nothing.
+    bool isPartial = false;
 
     friend bool operator==(const topic_change&, const topic_change&) = default;
 };
--- a/libs/relay/src/fleet_sync_message.cpp
+++ b/libs/relay/src/fleet_sync_message.cpp
@@ -21,7 +21,7 @@
 
 template <typename Archive> void serialize(Archive& archive, topic_change& change)
 {
-    archive(change.isSnapshot, change.position, change.age, change.records, change.isOmitted);
+    archive(change.isSnapshot, change.position, change.age, change.records, change.isOmitted, change.isPartial);
 }
 
 template <typename Archive> void serialize(Archive& archive, version_answers& answers)
--- a/libs/relay/src/rollout_evidence.cpp
+++ b/libs/relay/src/rollout_evidence.cpp
@@ -51,6 +51,20 @@
     return *this;
 }
 
+version_answers& version_answers::operator-=(const version_answers& other)
+{
+    sent -= other.sent;
+    good -= other.good;
+    bad -= other.bad;
+    timed -= other.timed;
+    slow -= other.slow;
+    verySlow -= other.verySlow;
+    paced -= other.paced;
+    slowPaced -= other.slowPaced;
+    verySlowPaced -= other.verySlowPaced;
+    return *this;
+}
+
 rollout_evidence::rollout_evidence(std::vector<route_answers> routes)
     : m_routes(std::move(routes))
 {
@@ -90,4 +104,14 @@
     return *this;
 }
 
+rollout_evidence& rollout_evidence::operator-=(const rollout_evidence& other)
+{
+    for (const route_answers& row : other.m_routes) {
+        route_answers& own = at(row.route);
+        own.target -= row.target;
+        own.others -= row.others;
+    }
+    return *this;
+}
+
 } // namespace pollen
--- a/libs/relay/src/rollout_system.cpp
+++ b/libs/relay/src/rollout_system.cpp
@@ -21,6 +21,8 @@
 constexpr duration shortCompletionMargin = std::chrono::milliseconds(600);
 // All daemons have moved after this time: they begin within one report of each other.
 constexpr duration minimumSettleTime = std::chrono::milliseconds(250);
+// Members ask for the totals four times a second each.
+constexpr duration totalsInterval = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -125,14 +127,17 @@
     return reports;
 }
 
-std::vector<rollout_report> rollout_system::totalReports(time_point now) const
+const std::vector<rollout_report>& rollout_system::totalReports(time_point now)
 {
-    std::vector<rollout_report> reports;
+    if (m_totalReportsAt && now - *m_totalReportsAt < totalsInterval)
+        return m_totalReports;
+    m_totalReportsAt = now;
+    m_totalReports.clear();
     for (const auto& [service, row] : m_table.rows()) {
         if (row.state == rollout_state::Running)
-            reports.push_back(totalReport(row, now));
+            m_totalReports.push_back(totalReport(row, now));
     }
-    return reports;
+    return m_totalReports;
 }
 
 version_answers* rollout_system::answersFor(const rollout_subject& subject)
@@ -236,6 +241,7 @@
     rollout_report report = ownReport(row, now);
     for (const received_report* received : m_reports.find(service, row.order.target))
         addReport(report, received->report, now - received->receivedAt < reportLifetime);
+    report.evidence += m_reports.evidence(service, row.order.target);
     const auto total = m_totals.find(service);
     const bool usable = total != m_totals.end() && total->second.report.target == row.order.target
         && now - total->second.receivedAt < reportLifetime;
--- a/libs/relay/src/shared_topic.cpp
+++ b/libs/relay/src/shared_topic.cpp
@@ -16,6 +16,11 @@
 // the store first.
 constexpr duration carriedTombstoneLifetime = std::chrono::seconds(30);
 
+uint64_t digestOf(const topic_record& record)
+{
+    return hashOf(record.key, record.position.era << 32 ^ record.position.offset);
+}
+
 } // namespace
 
 bool shared_topic::isNewer(const topic_record& record, const topic_record& known) const
@@ -51,7 +56,8 @@
     auto existing = m_records.find(record.key);
     if (existing == m_records.end() && hadLapsed(record)) {
         const log_position last { m_position.era, m_position.offset - 1 };
-        existing = m_records.insert({ record.key, { record.key, std::nullopt, last, true } }).first;
+        put({ record.key, std::nullopt, last, true });
+        existing = m_records.find(record.key);
     }
     if (existing == m_records.end() || isNewer(record, existing->second)) {
         m_doubtful.erase(record.key);
@@ -67,7 +73,49 @@
     const bool changed = m_listener.onKey(record.key, record.value);
     if (changed || existing == m_records.end() || existing->second.value.has_value() != record.value.has_value()
         || existing->second.position.era != record.position.era)
-        m_records[record.key] = record;
+        put(record);
+}
+
+void shared_topic::put(const topic_record& record)
+{
+    const auto [known, isNew] = m_records.try_emplace(record.key, record);
+    if (!isNew) {
+        unindex(known->second);
+        known->second = record;
+    }
+    index(known->second);
+}
+
+void shared_topic::erase(std::map<std::string, topic_record>::iterator position)
+{
+    unindex(position->second);
+    m_records.erase(position);
+}
+
+void shared_topic::index(const topic_record& record)
+{
+    m_byPosition.insert(&record);
+    m_tombstones += record.value ? 0 : 1;
+    if (isCarried(record))
+        m_carriedDigest ^= digestOf(record);
+}
+
+void shared_topic::unindex(const topic_record& record)
+{
+    m_byPosition.erase(&record);
+    m_tombstones -= record.value ? 0 : 1;
+    if (isCarried(record))
+        m_carriedDigest ^= digestOf(record);
+}
+
+// A later era makes carried records of those of the era before.
+void shared_topic::setPosition(const log_position& position)
+{
+    const auto firstBefore = firstOfEra();
+    m_position = position;
+    const auto first = firstOfEra();
+    for (auto record = firstBefore; record != first; ++record)
+        m_carriedDigest ^= digestOf(**record);
 }
 
 void shared_topic::keepOnly(const std::set<std::string>& keys, const log_position& before)
@@ -89,7 +137,8 @@
     }
     if (position.era > m_position.era)
         m_eraSince = asOf;
-    m_position = std::max(m_position, position);
+    if (position > m_position)
+        setPosition(position);
     m_asOf = std::max(m_asOf, asOf);
     if (m_lapse && m_asOf - m_eraSince >= m_lapse->unconfirmed)
         dropUnconfirmed();
@@ -113,17 +162,24 @@
 
 void shared_topic::discardTombstones()
 {
-    const auto tombstones = std::count_if(
-        m_records.begin(), m_records.end(), [](const auto& item) { return !item.second.value.has_value(); });
-    if (tombstones > static_cast<std::ptrdiff_t>(maximumTombstones)) {
+    const auto discard = [this](const auto& isDiscarded) {
+        for (auto item = m_records.begin(); item != m_records.end();) {
+            const auto current = item++;
+            if (!current->second.value && isDiscarded(current->second))
+                erase(current);
+        }
+    };
+    if (m_tombstones > maximumTombstones) {
         m_oldestTombstone = m_position;
-        std::erase_if(m_records, [](const auto& item) { return !item.second.value; });
+        discard([](const topic_record&) { return true; });
     }
-    if (m_asOf - m_eraSince >= carriedTombstoneLifetime)
-        std::erase_if(m_records, [this](const auto& item) { return !item.second.value && isCarried(item.second); });
+    const bool hasCarried = firstOfEra() != m_byPosition.begin();
+    if (hasCarried && m_asOf - m_eraSince >= carriedTombstoneLifetime)
+        discard([this](const topic_record& record) { return isCarried(record); });
 }
 
-std::optional<topic_change> shared_topic::changeSince(const topic_state& known, time_point now) const
+std::optional<topic_change> shared_topic::changeSince(
+    const topic_state& known, time_point now, const change_limits& limits) const
 {
     if (!m_isSynced)
         return std::nullopt;
@@ -131,13 +187,41 @@
     change.isSnapshot = known.position.era < m_position.era || known.position < m_oldestTombstone;
     change.position = m_position;
     change.age = now - m_asOf;
-    const bool knowsCarried = known.carriedDigest == carriedDigest();
-    for (const auto& [key, record] : m_records) {
-        const bool isIncluded = isCarried(record) ? change.isSnapshot || !knowsCarried
-            : change.isSnapshot                   ? record.value.has_value()
-                                                  : record.position >= known.position;
-        if (isIncluded)
-            change.records.push_back(record);
+    const auto first = firstOfEra();
+    size_t bytes = 0;
+    // Records that fit into a part.
+    size_t partRecords = 0;
+    const auto add = [&](const topic_record& record) {
+        bytes += record.key.size() + record.value.value_or("").size();
+        change.isOmitted = bytes > limits.total;
+        if (change.isOmitted)
+            return;
+        change.records.push_back(record);
+        partRecords += bytes <= limits.part ? 1 : 0;
+    };
+    if (change.isSnapshot || known.carriedDigest != m_carriedDigest) {
+        for (auto record = m_byPosition.begin(); record != first && !change.isOmitted; ++record)
+            add(**record);
+    }
+    const auto firstNew = change.isSnapshot ? first : m_byPosition.lower_bound(known.position);
+    for (auto record = firstNew; record != m_byPosition.end() && !change.isOmitted; ++record) {
+        if (change.isSnapshot && !(*record)->value)
+            continue;
+        add(**record);
+    }
+    if (change.isOmitted) {
+        change.records.clear();
+        return change;
+    }
+    partRecords = std::max(partRecords, size_t { 1 });
+    // Records that are carried over, or that stand at one position, are sent together.
+    const bool hasParts = !change.isSnapshot && partRecords < change.records.size()
+        && change.records.front().position >= known.position
+        && change.records[partRecords].position > change.records.front().position;
+    if (hasParts) {
+        change.isPartial = true;
+        change.position = change.records[partRecords].position;
+        change.records.resize(partRecords);
     }
     return change;
 }
@@ -155,27 +239,23 @@
             keys.insert(record.key);
         keepOnly(keys, change.position);
     }
+    if (change.isPartial) {
+        setPosition(change.position);
+        m_listener.onSynced(m_asOf);
+        return;
+    }
     markSynced(change.position, requestedAt - change.age);
 }
 
 std::vector<topic_record> shared_topic::unconfirmed() const
 {
     std::vector<topic_record> records;
-    for (const auto& [key, record] : m_records) {
-        if (record.value && isCarried(record))
-            records.push_back(record);
+    const auto first = firstOfEra();
+    for (auto record = m_byPosition.begin(); record != first; ++record) {
+        if ((*record)->value)
+            records.push_back(**record);
     }
     return records;
 }
 
-uint64_t shared_topic::carriedDigest() const
-{
-    uint64_t digest = 0;
-    for (const auto& [key, record] : m_records) {
-        if (isCarried(record))
-            digest ^= hashOf(key, record.position.era << 32 ^ record.position.offset);
-    }
-    return digest;
-}
-
 } // namespace pollen
