Send other daemons what they lack, not all that the store lacks

Cause: each reply to a member held all crash reports that the store did not hold yet, 256 and about 25 kB at most, four times a second, besides the pending work of the whole group. Replies came after the time-out, members asked the next daemons and at last the store, and everything that travels by these replies was late.

Change: crash reports and pending work are sent as changes since what the receiver knows, which it tells with each request; 64 reports a message. Changes of topics beyond 8 kB come in parts, so that the replies to a group of fifty fit onto the slowest link before they count as silent. A daemon hedges a late reply once a second at most, as hedges add to the load that makes replies late.

--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -58,7 +58,8 @@
     , m_exchange(loop, settings.peers, peerSecret, log)
     , m_channels(m_exchange)
     , m_sharing({ settings.id, settings.failureDomain }, syncLimits(settings), m_store, m_state.servers(),
-          m_rolloutSystem, m_crashes, m_crashSharing, m_rateLimits, m_channels.open(fleetSyncChannel), time, log)
+          m_rolloutSystem, m_crashes, m_crashSharing, m_rateLimits, m_channels.open(fleetSyncChannel), m_random, time,
+          log)
     , m_permits(
           { settings.id, settings.failureDomain }, m_store, m_rateLimits, m_channels.open(permitChannel), time, log)
     , m_sessions(settings.sessionIdle)
--- a/libs/relay/include/relay/crash_report.h
+++ b/libs/relay/include/relay/crash_report.h
@@ -40,6 +40,24 @@
     friend bool operator==(const crash_report&, const crash_report&) = default;
 };
 
+// How far a daemon knows the table of another one.
+struct crash_state {
+    // Random number of the process that holds the table; 0 if none is known.
+    uint64_t table = 0;
+    // Changes of the table up to and including this one are known.
+    uint64_t change = 0;
+
+    friend bool operator==(const crash_state&, const crash_state&) = default;
+};
+
+// Reports that a receiver lacks, and how far it knows the sender's table with them.
+struct crash_changes {
+    crash_state state;
+    std::vector<crash_report> reports;
+
+    friend bool operator==(const crash_changes&, const crash_changes&) = default;
+};
+
 // Fingerprints of requests and of prompt parts, distinguished by their highest bit.
 uint64_t requestFingerprint(uint64_t hash);
 uint64_t partFingerprint(uint64_t part);
--- a/libs/relay/include/relay/fleet_sync.h
+++ b/libs/relay/include/relay/fleet_sync.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/logger.h>
+#include <base/random_source.h>
 #include <fleet/fleet_system.h>
 #include <fleet/server_table.h>
 #include <memory>
@@ -9,8 +10,10 @@
 #include <relay/crash_publisher.h>
 #include <relay/fleet_store.h>
 #include <relay/fleet_sync_message.h>
+#include <relay/group_work.h>
 #include <relay/rollout_system.h>
 #include <relay/sync_load.h>
+#include <relay/work_view.h>
 
 namespace pollen {
 
@@ -47,7 +50,7 @@
     // receives the rate limits that they know.
     fleet_sync(identity self, const limits& limits, fleet_store& store, server_table& servers, rollout_system& rollouts,
         crash_table& crashTable, crash_publisher& crashes, server_rate_limits& rateLimits, state_exchange& exchange,
-        const clock& time, logger& log);
+        random_source& random, const clock& time, logger& log);
 
     void tick(time_point now) override;
 
@@ -55,12 +58,6 @@
     const instance_id& upstream() const { return m_upstream; }
 
 private:
-    // Pending work reported by a member of the group.
-    struct member_work {
-        std::vector<server_work> work;
-        time_point received;
-    };
-
     struct penalty {
         time_point until;
         uint32_t failures = 0;
@@ -73,6 +70,7 @@
         // See fleet_sync_request.
         bool isMember = false;
         bool acceptsLarge = false;
+        std::vector<server_work> work;
 
         duration timeout() const;
     };
@@ -121,9 +119,13 @@
     void reportLoad(time_point now);
     void reportAges(time_point now);
     std::vector<server_work> ownWork() const;
-    // Pending work of all daemons of the group except one, including this daemon's own.
-    std::vector<server_work> workExcluding(const instance_id& daemon, time_point now) const;
-    void applyPeerWork(const std::vector<server_work>& work);
+    // This daemon's crash reports for another one that knows them as far as the state says.
+    crash_changes crashesFor(const crash_state& known, crash_table::reporters reporters) const;
+    void mergeCrashes(const crash_changes& changes);
+    // Reports this daemon's own pending work to its group; a leader learns that of the members.
+    void updateWork(time_point now);
+    // own: what this daemon had reported when the change was made.
+    void applyWork(const work_change& change, const std::vector<server_work>& own);
 
     identity m_self;
     limits m_limits;
@@ -140,13 +142,26 @@
     std::map<instance_id, penalty> m_penalties;
     // Daemons that cannot read the store, and when they last said so.
     std::map<instance_id, time_point> m_storeLosses;
-    std::map<instance_id, member_work> m_members;
+    // Random; tells other daemons whether they still speak to the same process.
+    uint64_t m_process;
+    // How far each daemon that is queried knows this daemon's crash reports, and the reverse.
+    struct crash_exchange {
+        crash_state knownByPeer;
+        crash_table::reporters sent = crash_table::reporters::Self;
+        crash_state knownHere;
+    };
+    std::map<instance_id, crash_exchange> m_crashExchanges;
+    // Pending work of the daemons that query this one, and its own.
+    group_work m_groupWork;
+    // Pending work of the group that this daemon belongs to.
+    work_view m_work;
     time_point m_nextWorkUpdate {};
     uint64_t m_requestNumber = 0;
     // The request in progress and, if its reply is late, one to another daemon.
     std::vector<pending_request> m_pending;
     time_point m_nextRequest {};
     time_point m_nextComparison {};
+    time_point m_nextHedge {};
     instance_id m_lastQueried;
     bool m_isLeader = false;
     bool m_couldReadStore = true;
--- a/libs/relay/include/relay/fleet_sync_message.h
+++ b/libs/relay/include/relay/fleet_sync_message.h
@@ -4,6 +4,7 @@
 #include <relay/crash_report.h>
 #include <relay/rollout.h>
 #include <relay/server_rate_limits.h>
+#include <relay/server_work.h>
 #include <relay/shared_topic.h>
 
 namespace pollen {
@@ -14,15 +15,6 @@
     using error::error;
 };
 
-// Requests sent to one server that have not shown a sign of progress yet.
-struct server_work {
-    instance_id server;
-    uint32_t requests = 0;
-    uint64_t unreadTokens = 0;
-
-    friend bool operator==(const server_work&, const server_work&) = default;
-};
-
 // Requests the changes of the fleet state that the sender does not have yet.
 struct fleet_sync_request {
     // How far the sender knows each topic, in the order of fleet_store::topics(), which is the same in all daemons.
@@ -39,8 +31,13 @@
     std::vector<rollout_report> reports;
     // The sender's own pending work; only of a member.
     std::vector<server_work> work;
-    // The sender's reports of requests that crashed servers, as far as the store does not hold them yet.
-    std::vector<crash_report> crashes;
+    // How far the sender knows the pending work of the receiver's group.
+    work_state knownWork;
+    // The sender's reports of requests that crashed servers, as far as the store does not hold them and the receiver
+    // does not know them yet.
+    crash_changes crashes;
+    // How far the sender knows the receiver's reports.
+    crash_state knownCrashes;
     // The rate limits that servers have named, as far as the sender knows.
     std::vector<rate_limit_notice> rateLimits;
 
@@ -55,10 +52,13 @@
     std::vector<topic_change> changes;
     // Combined observations of all daemons of the running roll-outs; only for a member.
     std::vector<rollout_report> totals;
-    // Pending work of the other daemons of the group; only for a member.
-    std::vector<server_work> work;
-    // Reports of the group on requests that crashed servers, as far as the store does not hold them yet.
-    std::vector<crash_report> crashes;
+    // Changes of the pending work of the group, what the member has reported included; only for a member.
+    work_change work;
+    // Reports of the group on requests that crashed servers, as far as the store does not hold them and the receiver
+    // does not know them yet.
+    crash_changes crashes;
+    // How far the sender knows the receiver's reports.
+    crash_state knownCrashes;
     // The rate limits that servers have named, as far as the group knows.
     std::vector<rate_limit_notice> rateLimits;
 
--- a/libs/relay/src/crash_table.cpp
+++ b/libs/relay/src/crash_table.cpp
@@ -71,6 +71,21 @@
     if (crashes.size() > maximumCrashesPerReport)
         crashes.erase(crashes.begin());
     applyAnswer(fingerprint, known);
+    recordChange(fingerprint, known);
+}
+
+void crash_table::recordChange(uint64_t fingerprint, entry& request)
+{
+    m_unstoredByChange.erase(request.change);
+    request.change = ++m_change;
+    if (hasUnstored(request))
+        m_unstoredByChange[request.change] = fingerprint;
+}
+
+bool crash_table::hasUnstored(const entry& request)
+{
+    return std::any_of(request.byDaemon.begin(), request.byDaemon.end(),
+        [](const auto& item) { return item.second.stored != item.second.report; });
 }
 
 void crash_table::withdrawCrash(uint64_t fingerprint, const instance_id& server, int64_t timeMilliseconds)
@@ -81,6 +96,7 @@
     std::erase_if(updateOwnReport(fingerprint, found->second).crashes, [&](const server_crash& crash) {
         return crash.server == server && crash.timeMilliseconds == timeMilliseconds;
     });
+    recordChange(fingerprint, found->second);
 }
 
 void crash_table::addAnswer(uint64_t fingerprint, int64_t now)
@@ -100,14 +116,17 @@
     const bool explains = std::any_of(crashes.begin(), crashes.end(), [&](const server_crash& crash) {
         return crash.timeMilliseconds <= answer->second + answerCoverage(fingerprint);
     });
-    if (explains)
-        updateOwnReport(fingerprint, request).lastAnswerMilliseconds = answer->second;
+    if (!explains)
+        return;
+    updateOwnReport(fingerprint, request).lastAnswerMilliseconds = answer->second;
+    recordChange(fingerprint, request);
 }
 
 void crash_table::merge(const crash_report& report, bool stored)
 {
     entry& request = m_requests[report.key.fingerprint];
     row& known = request.byDaemon[report.key.daemon];
+    const row before = known;
     if (stored)
         known.stored = report;
     if (report.key.daemon == m_self && stored)
@@ -116,6 +135,8 @@
         known.report = report;
     known.report.key = report.key;
     applyAnswer(report.key.fingerprint, request);
+    if (known.report != before.report || known.stored != before.stored)
+        recordChange(report.key.fingerprint, request);
 }
 
 // Reports of this daemon from before a restart stay valid and are combined with what it has seen since.
@@ -145,6 +166,7 @@
         found->second.byDaemon.erase(known);
     else
         known->second.stored.reset();
+    recordChange(key.fingerprint, found->second);
     if (found->second.byDaemon.empty())
         m_requests.erase(found);
 }
@@ -248,24 +270,28 @@
 
 std::vector<crash_report> crash_table::unstored() const
 {
-    std::vector<crash_report> reports;
-    for (const auto& [fingerprint, request] : m_requests) {
+    return unstoredSince(0, reporters::All, maximumBatchReports).reports;
+}
+
+crash_changes crash_table::unstoredSince(uint64_t change, reporters reporters, size_t maximumReports) const
+{
+    crash_changes changes { { 0, m_change }, {} };
+    for (auto item = m_unstoredByChange.upper_bound(change); item != m_unstoredByChange.end(); ++item) {
+        const entry& request = m_requests.at(item->second);
         // Crashes explained before any other daemon learned of them need not be published.
         if (unexplainedCrashes(request).empty() && !isKnownToOthers(request))
             continue;
+        if (changes.reports.size() >= maximumReports) {
+            changes.state.change = item->first - 1;
+            return changes;
+        }
         for (const auto& [daemon, row] : request.byDaemon) {
-            if (row.stored != row.report && reports.size() < maximumBatchReports)
-                reports.push_back(row.report);
+            const bool isReported = reporters == reporters::All || daemon == m_self;
+            if (isReported && row.stored != row.report)
+                changes.reports.push_back(row.report);
         }
     }
-    return reports;
-}
-
-std::vector<crash_report> crash_table::ownUnstored() const
-{
-    std::vector<crash_report> reports = unstored();
-    std::erase_if(reports, [&](const crash_report& report) { return report.key.daemon != m_self; });
-    return reports;
+    return changes;
 }
 
 int64_t crash_table::oldestKeptMilliseconds() const
@@ -328,8 +354,12 @@
         m_answerMilliseconds, [&](const auto& item) { return now - item.second >= answerCoverage(item.first); });
     // Requests with stored reports are kept until drop() removes the reports.
     const int64_t oldest = oldestKeptMilliseconds();
-    std::erase_if(m_requests,
-        [&](const auto& item) { return isOutdated(item.second, now, oldest) && !isKnownToOthers(item.second); });
+    std::erase_if(m_requests, [&](const auto& item) {
+        const bool isErased = isOutdated(item.second, now, oldest) && !isKnownToOthers(item.second);
+        if (isErased)
+            m_unstoredByChange.erase(item.second.change);
+        return isErased;
+    });
 }
 
 } // namespace pollen
--- a/libs/relay/src/fleet_sync.cpp
+++ b/libs/relay/src/fleet_sync.cpp
@@ -10,16 +10,22 @@
 constexpr duration replyTimeout = std::chrono::milliseconds(250);
 // A reply that takes longer than this is late, and another daemon is queried as well.
 constexpr duration hedgeDelay = std::chrono::milliseconds(100);
+// Replies that are late time after time show load, which hedges would only add to.
+constexpr duration hedgeInterval = std::chrono::milliseconds(1000);
 // A reply with large changes takes as long as the links need.
 constexpr duration largeReplyTimeout = std::chrono::seconds(3);
 // Changes of a topic beyond this size are omitted. Some fifty members of a group share a link of 10 Mbit/s.
 constexpr size_t maximumChangeBytes = 32U << 10;
+// Changes of a topic beyond this size are sent in parts, so that the replies to all members fit onto the leader's link
+// before they count as silent.
+constexpr size_t maximumPartBytes = 8U << 10;
+// Crash reports in a message, of about 100 bytes each. Further ones follow with the next message, or come from the
+// store.
+constexpr size_t maximumCrashReports = 64;
 // The store should have supplied an omitted change by then.
 constexpr duration omittedPatience = std::chrono::milliseconds(800);
 constexpr duration initialPenalty = std::chrono::seconds(2);
 constexpr uint32_t maximumDoublings = 4;
-// Pending work of a member that has not sent a request within this time is no longer counted.
-constexpr duration workLifetime = std::chrono::seconds(1);
 // Daemons of each failure domain, the leader and its deputies, that may read the store while it does not answer the
 // leader. The others query these.
 constexpr size_t storeReaders = 3;
@@ -67,23 +73,11 @@
     time_point m_start;
 };
 
-topic_change withoutLargeRecords(topic_change change)
-{
-    size_t bytes = 0;
-    for (const topic_record& record : change.records)
-        bytes += record.key.size() + record.value.value_or("").size();
-    if (bytes <= maximumChangeBytes)
-        return change;
-    change.isOmitted = true;
-    change.records.clear();
-    return change;
-}
-
 } // namespace
 
 fleet_sync::fleet_sync(identity self, const limits& limits, fleet_store& store, server_table& servers,
     rollout_system& rollouts, crash_table& crashTable, crash_publisher& crashes, server_rate_limits& rateLimits,
-    state_exchange& exchange, const clock& time, logger& log)
+    state_exchange& exchange, random_source& random, const clock& time, logger& log)
     : m_self(std::move(self))
     , m_limits(limits)
     , m_store(store)
@@ -95,6 +89,8 @@
     , m_exchange(exchange)
     , m_time(time)
     , m_log(log)
+    , m_process(std::uniform_int_distribution<uint64_t>(1)(random))
+    , m_groupWork(m_process)
     , m_aliveToken(std::make_shared<bool>(true))
 {
     m_rollouts.setLeader(false);
@@ -104,19 +100,18 @@
 
 void fleet_sync::tick(time_point now)
 {
-    if (m_upstream.empty() && now >= m_nextWorkUpdate) {
-        m_nextWorkUpdate = now + requestInterval;
-        applyPeerWork(workExcluding(m_self.id, now));
-    }
+    updateWork(now);
     updateLeadership(now);
     noticeStoreLoss(now);
     dropSilentRequests(now);
     reportAges(now);
     reportLoad(now);
     const bool isLate = m_pending.size() == 1 && now - m_pending.front().sentAt >= hedgeDelay;
-    if (isLate && !m_pending.front().acceptsLarge) {
-        if (const auto hedge = chooseHedge(now))
+    if (isLate && !m_pending.front().acceptsLarge && now >= m_nextHedge) {
+        if (const auto hedge = chooseHedge(now)) {
+            m_nextHedge = now + hedgeInterval;
             sendRequest(*hedge, false, now);
+        }
     }
     if (!m_pending.empty() || now < m_nextRequest)
         return;
@@ -330,7 +325,7 @@
     if (load.requests < minimumReportedRequests)
         return;
     m_log.write(log_level::Info, "sync_load",
-        { { "leader", m_isLeader }, { "members", static_cast<int64_t>(m_members.size()) },
+        { { "leader", m_isLeader }, { "members", static_cast<int64_t>(m_groupWork.members()) },
             { "requests", load.requests }, { "request_bytes", static_cast<int64_t>(load.requestBytes) },
             { "reply_bytes", static_cast<int64_t>(load.replyBytes) }, { "changes_us", load.changes.count() },
             { "totals_us", load.totals.count() }, { "work_us", load.work.count() },
@@ -377,13 +372,19 @@
     if (isMember) {
         request.reports = m_rollouts.memberReports(now);
         request.work = ownWork();
+        request.knownWork = m_work.state();
     }
     // A leader speaks for its group: while the store is away, other groups learn from it directly.
-    request.crashes = m_isLeader ? m_crashTable.unstored() : m_crashTable.ownUnstored();
+    crash_exchange& crashes = m_crashExchanges[peer.id];
+    const auto reporters = m_isLeader ? crash_table::reporters::All : crash_table::reporters::Self;
+    if (std::exchange(crashes.sent, reporters) != reporters)
+        crashes.knownByPeer = {};
+    request.crashes = crashesFor(crashes.knownByPeer, reporters);
+    request.knownCrashes = crashes.knownHere;
     request.rateLimits = m_rateLimits.notices(now);
     m_lastQueried = peer.id;
     const uint64_t number = ++m_requestNumber;
-    m_pending.push_back({ number, peer, now, isMember, request.acceptsLarge });
+    m_pending.push_back({ number, peer, now, isMember, request.acceptsLarge, request.work });
     m_exchange.fetch(peer.address, encodeFleetSyncRequest(request),
         [this, number, alive = std::weak_ptr<bool>(m_aliveToken)](const std::optional<std::string>& bytes) {
             if (!alive.expired())
@@ -448,8 +449,12 @@
 void fleet_sync::applyReply(const pending_request& request, const fleet_sync_reply& reply, time_point now)
 {
     // Crashes do not become wrong with the age of the rest.
-    for (const crash_report& report : reply.crashes)
-        m_crashTable.merge(report, false);
+    mergeCrashes(reply.crashes);
+    crash_exchange& crashes = m_crashExchanges[request.peer.id];
+    // A peer that has started anew knows only what this request told it.
+    const bool isSameProcess = crashes.knownHere.table == reply.crashes.state.table;
+    crashes.knownByPeer = isSameProcess ? reply.knownCrashes : crash_state {};
+    crashes.knownHere = reply.crashes.state;
     const std::vector<shared_topic*> topics = m_store.topics();
     if (reply.changes.size() != topics.size() || reply.changes.front().age > m_limits.maximumPeerAge) {
         m_staleReplyAt = now;
@@ -465,7 +470,7 @@
     if (request.isMember) {
         for (const rollout_report& total : reply.totals)
             m_rollouts.receiveTotalReport(total, now);
-        applyPeerWork(reply.work);
+        applyWork(reply.work, request.work);
     }
     std::erase_if(m_pending, [&](const pending_request& item) { return item.number == request.number; });
     m_penalties.erase(request.peer.id);
@@ -484,7 +489,9 @@
 // Queries another daemon at once when this one turns out to have lost the store.
 void fleet_sync::scheduleRequest(const pending_request& request, const fleet_sync_reply& reply, time_point now)
 {
-    m_nextRequest = request.sentAt + requestInterval;
+    const bool isPartial = std::any_of(
+        reply.changes.begin(), reply.changes.end(), [](const topic_change& change) { return change.isPartial; });
+    m_nextRequest = isPartial ? now : request.sentAt + requestInterval;
     if (!reply.hasLostStore) {
         m_storeLosses.erase(request.peer.id);
         return;
@@ -534,32 +541,37 @@
     return work;
 }
 
-std::vector<server_work> fleet_sync::workExcluding(const instance_id& daemon, time_point now) const
+crash_changes fleet_sync::crashesFor(const crash_state& known, crash_table::reporters reporters) const
 {
-    std::map<instance_id, server_work> sums;
-    const auto add = [&](const std::vector<server_work>& work) {
-        for (const server_work& item : work) {
-            server_work& sum = sums[item.server];
-            sum = { item.server, sum.requests + item.requests, sum.unreadTokens + item.unreadTokens };
-        }
-    };
-    for (const auto& [id, member] : m_members) {
-        if (id != daemon && now - member.received < workLifetime)
-            add(member.work);
-    }
-    if (daemon != m_self.id)
-        add(ownWork());
-    std::vector<server_work> work;
-    work.reserve(sums.size());
-    for (const auto& [id, sum] : sums)
-        work.push_back(sum);
-    return work;
+    const uint64_t change = known.table == m_process ? known.change : 0;
+    crash_changes changes = m_crashTable.unstoredSince(change, reporters, maximumCrashReports);
+    changes.state.table = m_process;
+    return changes;
+}
+
+void fleet_sync::mergeCrashes(const crash_changes& changes)
+{
+    for (const crash_report& report : changes.reports)
+        m_crashTable.merge(report, false);
+}
+
+void fleet_sync::updateWork(time_point now)
+{
+    if (now < m_nextWorkUpdate)
+        return;
+    m_nextWorkUpdate = now + requestInterval;
+    const std::vector<server_work> own = ownWork();
+    m_groupWork.report(m_self.id, own, now);
+    m_groupWork.removeSilent(now);
+    if (m_upstream.empty())
+        applyWork(m_groupWork.changeSince(m_work.state()), own);
 }
 
-void fleet_sync::applyPeerWork(const std::vector<server_work>& work)
+void fleet_sync::applyWork(const work_change& change, const std::vector<server_work>& own)
 {
+    m_work.apply(change);
     m_servers.clearPeerLoads();
-    for (const server_work& item : work)
+    for (const server_work& item : m_work.excluding(own))
         m_servers.addPeerLoad(item.server, item.requests, item.unreadTokens);
 }
 
@@ -578,26 +590,29 @@
         fleet_sync_reply reply;
         reply.hasLostStore = hasLostStore(now);
         for (size_t i = 0; i < topics.size(); ++i) {
-            const auto change = topics[i]->changeSince(request.topics[i], now);
+            const auto limits = request.acceptsLarge
+                ? shared_topic::change_limits {}
+                : shared_topic::change_limits { maximumChangeBytes, maximumPartBytes };
+            auto change = topics[i]->changeSince(request.topics[i], now, limits);
             if (!change)
                 return {};
-            reply.changes.push_back(request.acceptsLarge ? *change : withoutLargeRecords(*change));
+            reply.changes.push_back(std::move(*change));
         }
         lap.addTo(m_load.changes);
         for (const rollout_report& report : request.reports)
             m_rollouts.receiveMemberReport(report, request.sender, now);
-        for (const crash_report& report : request.crashes)
-            m_crashTable.merge(report, false);
+        mergeCrashes(request.crashes);
+        reply.knownCrashes = request.crashes.state;
         for (const rate_limit_notice& notice : request.rateLimits)
             m_rateLimits.merge(notice, now);
         if (request.isMember) {
-            m_members[request.sender] = { request.work, now };
+            m_groupWork.report(request.sender, request.work, now);
             reply.totals = m_rollouts.totalReports(now);
             lap.addTo(m_load.totals);
-            reply.work = workExcluding(request.sender, now);
+            reply.work = m_groupWork.changeSince(request.knownWork);
             lap.addTo(m_load.work);
         }
-        reply.crashes = m_crashTable.unstored();
+        reply.crashes = crashesFor(request.knownCrashes, crash_table::reporters::All);
         reply.rateLimits = m_rateLimits.notices(now);
         std::string encoded = encodeFleetSyncReply(reply);
         lap.addTo(m_load.coding);
--- a/libs/relay/src/fleet_sync_message.cpp
+++ b/libs/relay/src/fleet_sync_message.cpp
@@ -58,6 +58,13 @@
     archive(work.server, work.requests, work.unreadTokens);
 }
 
+template <typename Archive> void serialize(Archive& archive, work_state& state) { archive(state.sum, state.change); }
+
+template <typename Archive> void serialize(Archive& archive, work_change& change)
+{
+    archive(change.isComplete, change.state, change.work);
+}
+
 template <typename Archive> void serialize(Archive& archive, server_crash& end)
 {
     archive(end.server, end.timeMilliseconds, end.request);
@@ -68,15 +75,23 @@
     archive(report.key.fingerprint, report.key.daemon, report.revision, report.crashes, report.lastAnswerMilliseconds);
 }
 
+template <typename Archive> void serialize(Archive& archive, crash_state& state) { archive(state.table, state.change); }
+
+template <typename Archive> void serialize(Archive& archive, crash_changes& changes)
+{
+    archive(changes.state, changes.reports);
+}
+
 template <typename Archive> void serialize(Archive& archive, fleet_sync_request& request)
 {
     archive(request.topics, request.sender, request.isMember, request.acceptsLarge, request.reports, request.work,
-        request.crashes, request.rateLimits);
+        request.knownWork, request.crashes, request.knownCrashes, request.rateLimits);
 }
 
 template <typename Archive> void serialize(Archive& archive, fleet_sync_reply& reply)
 {
-    archive(reply.hasLostStore, reply.changes, reply.totals, reply.work, reply.crashes, reply.rateLimits);
+    archive(reply.hasLostStore, reply.changes, reply.totals, reply.work, reply.crashes, reply.knownCrashes,
+        reply.rateLimits);
 }
 
 std::string encodeFleetSyncRequest(const fleet_sync_request& request) { return encodeMessage(request); }
--- a/libs/relay/tests/crash_table_test.cpp
+++ b/libs/relay/tests/crash_table_test.cpp
@@ -293,4 +293,36 @@
     EXPECT_FALSE(table.containsCrashingPart({ partFingerprint(7) }, start + 10 * second));
 }
 
+// Guards against CONFIG: all reports that the store did not hold were sent to each daemon with each reply.
+TEST(CrashTable, ReportsAreSentOnceToADaemonThatKnowsThem)
+{
+    constexpr size_t batch = 10;
+    constexpr auto all = crash_table::reporters::All;
+    crash_table table { instance_id("a") };
+    crash_table other { instance_id("b") };
+    for (uint64_t request = 1; request <= 25; ++request)
+        table.addCrash(request, instance_id("i-1"), 1000, request);
+    uint64_t known = 0;
+    size_t sent = 0;
+    for (const size_t expected : { batch, batch, size_t { 5 }, size_t { 0 } }) {
+        const crash_changes changes = table.unstoredSince(known, all, batch);
+        EXPECT_EQ(changes.reports.size(), expected);
+        for (const crash_report& report : changes.reports)
+            other.merge(report, false);
+        known = changes.state.change;
+        sent += changes.reports.size();
+    }
+    EXPECT_EQ(sent, 25U);
+    EXPECT_EQ(other.unstored(), table.unstored());
+    EXPECT_TRUE(other.unstoredSince(0, crash_table::reporters::Self, batch).reports.empty());
+    table.addCrash(3, instance_id("i-2"), 5000, 3);
+    const crash_changes news = table.unstoredSince(known, all, batch);
+    ASSERT_EQ(news.reports.size(), 1U);
+    EXPECT_EQ(news.reports.front().crashes.size(), 2U);
+    other.merge(news.reports.front(), false);
+    table.merge(news.reports.front(), true);
+    EXPECT_TRUE(table.unstoredSince(news.state.change, all, batch).reports.empty());
+    EXPECT_EQ(table.unstored().size(), 24U);
+}
+
 } // namespace pollen
--- a/libs/relay/tests/fleet_sync_test.cpp
+++ b/libs/relay/tests/fleet_sync_test.cpp
@@ -128,6 +128,40 @@
     EXPECT_EQ(toListener.values, (contents { { "kept", "1" }, { "newer", "1" } }));
 }
 
+// Guards against DRAIN: many entries that change at once made replies that took longer over a leader's link than its
+// members wait.
+TEST(SharedTopic, ALargeChangeIsSentInParts)
+{
+    recording_listener fromListener;
+    recording_listener toListener;
+    shared_topic from(fromListener);
+    shared_topic to(toListener);
+    from.markSynced(at(1), start);
+    to.apply(*from.changeSince(to.state(), start), start);
+    for (uint64_t i = 1; i <= 10; ++i)
+        from.apply({ "server-" + std::to_string(i), std::string(100, 'x'), at(i) });
+    from.markSynced(at(11), start + std::chrono::seconds(1));
+    const shared_topic::change_limits bounds { 5000, 350 };
+    for (const size_t known : { size_t { 3 }, size_t { 6 }, size_t { 9 } }) {
+        const topic_change part = *from.changeSince(to.state(), start, bounds);
+        EXPECT_TRUE(part.isPartial);
+        to.apply(part, start + std::chrono::seconds(1));
+        EXPECT_EQ(toListener.values.size(), known);
+        EXPECT_EQ(to.asOf(), start) << "the rest may be as old as that";
+    }
+    const topic_change last = *from.changeSince(to.state(), start + std::chrono::seconds(1), bounds);
+    EXPECT_FALSE(last.isPartial);
+    to.apply(last, start + std::chrono::seconds(1));
+    EXPECT_EQ(toListener.values, fromListener.values);
+    EXPECT_EQ(to.position(), at(11));
+    EXPECT_EQ(to.asOf(), start + std::chrono::seconds(1));
+    from.apply({ "large", std::string(400, 'x'), at(11) });
+    from.apply({ "too large", std::string(6000, 'x'), at(12) });
+    from.markSynced(at(13), start + std::chrono::seconds(1));
+    EXPECT_TRUE(from.changeSince(to.state(), start, bounds)->isOmitted);
+    EXPECT_EQ(from.changeSince(to.state(), start, { 50000, 350 })->records.size(), 1U) << "a record is never split";
+}
+
 TEST(SharedTopic, AgeOfAChangeCountsFromTheTimeOfTheRequest)
 {
     recording_listener listener;
@@ -143,15 +177,16 @@
     const rollout_report report { instance_id("d"), 7, service_name("s"), version_name("v"), std::chrono::seconds(3),
         rollout_evidence({ { "r", { 1, 2, 3, 4, 5, 6 }, { 7, 8, 9, 10, 11, 12 } } }), 9, true, true };
     const fleet_sync_request request { { { { 3, 1 }, 0 }, { { 3, 2 }, 7 } }, instance_id("d"), true, true, { report },
-        { { instance_id("e"), 3, 17000 } },
-        { { { 5, instance_id("d") }, 2, { { instance_id("e"), 1796354559998 } }, 1796354559000 } },
+        { { instance_id("e"), 3, 17000 } }, { 4, 12 },
+        { { 6, 2 }, { { { 5, instance_id("d") }, 2, { { instance_id("e"), 1796354559998 } }, 1796354559000 } } },
+        { 7, 9 },
         { { instance_id("e"), 11, 1.1, std::chrono::milliseconds(40) },
             { instance_id("f"), 12, std::nullopt, duration(0) } } };
     EXPECT_EQ(decodeFleetSyncRequest(encodeFleetSyncRequest(request)), request);
     const fleet_sync_reply reply { true,
         { { true, { 3, 9 }, std::chrono::seconds(2),
             { { "k", "v", { 3, 3 }, true }, { "d", std::nullopt, { 2, 4 } } } } },
-        request.reports, request.work, request.crashes, request.rateLimits };
+        request.reports, { true, { 4, 13 }, request.work }, request.crashes, request.knownCrashes, request.rateLimits };
     const std::string bytes = encodeFleetSyncReply(reply);
     EXPECT_EQ(decodeFleetSyncReply(bytes), reply);
     for (size_t length = 0; length + 1 < bytes.size(); ++length)
--- a/libs/relay/tests/sync_daemon.h
+++ b/libs/relay/tests/sync_daemon.h
@@ -39,24 +39,25 @@
     sync_daemon(fake_network& network, const clock& time, const std::string& id, const char* domain, uint16_t port,
         const fleet_sync::limits& limits, uint64_t incarnation = 1)
         : listed { instance_id(id), failure_domain_name(domain), { "127.0.0.1", port } }
+        , random(port + incarnation * 100000)
         , rollouts(table, store, listed.id, incarnation, { 0.15, 30 }, log)
         , crashTable(listed.id)
         , crashes(crashTable, store, time, log)
         , exchange(network, listed.address)
         , sharing({ listed.id, listed.failureDomain }, limits, store, servers, rollouts, crashTable, crashes,
-              rateLimits, exchange, time, log)
+              rateLimits, exchange, random, time, log)
     {
     }
 
     null_logger log;
     listed_peer listed;
+    random_source random;
     single_topic_store store;
     rollout_table table;
     server_table servers;
     rollout_system rollouts;
     crash_table crashTable;
     crash_publisher crashes;
-    random_source random { 1 };
     server_rate_limits rateLimits { random };
     fake_exchange exchange;
     fleet_sync sharing;
