Let an event end with the LF of its blank line where lines end with CRLF

Cause: a CR ended a line at once, also where the lines of the run end with CR and LF; and only the first byte of line ends was compared, so that CR and CRLF could be mixed in one event, against docs/design/streams.md.

Change: once an LF has followed a CR, a CR alone ends no line of that run, and any other byte behind it is a fault; the reverse as well.

Evidence: AnEventIsCompleteWithItsLastByteOnly plays each cut of two events with LF, CRLF and CR, LineEndsOfTwoKindsAreAFault mixes them. By reading, the code before fails the first at the CR of a blank line and the second for CR with CRLF; it was not run with them.

--- a/libs/relay/include/relay/event_splitter.h
+++ b/libs/relay/include/relay/event_splitter.h
@@ -53,8 +53,10 @@
     // Length of the line that is being read, and the part of it that holds the field's name and may hold an id.
     size_t m_lineLength = 0;
     std::string m_line;
-    // The last byte was a CR that has ended a line. An LF behind it belongs to it.
+    // The last byte was a CR. An LF behind it belongs to the same line end.
     bool m_afterCarriageReturn = false;
+    // Whether LF follows each CR of this run, once that is known.
+    std::optional<bool> m_pairsLineEnds;
     // The event that is being read has a line that is no comment.
     bool m_hasField = false;
     // And these fields.
--- a/libs/relay/src/event_splitter.cpp
+++ b/libs/relay/src/event_splitter.cpp
@@ -36,12 +36,21 @@
     size_t complete = 0;
     size_t at = 0;
     while (at < bytes.size() && m_fault == stream_fault::None) {
-        if (std::exchange(m_afterCarriageReturn, false) && bytes[at] == '\n') {
-            // The CR may have ended an event, to which the LF belongs as well.
-            const bool endsEvent = at == complete && (complete > 0 || m_partialEvent.empty());
-            ++at;
-            complete = endsEvent ? at : complete;
-            continue;
+        if (std::exchange(m_afterCarriageReturn, false)) {
+            const bool isPair = bytes[at] == '\n';
+            const std::optional<bool> knownPairs = std::exchange(m_pairsLineEnds, isPair);
+            if (knownPairs.value_or(isPair) != isPair) {
+                m_fault = stream_fault::LineEnd;
+                break;
+            }
+            if (isPair) {
+                // Blank lines between two runs stay with the event that they follow.
+                const bool endsBlankLine = !knownPairs && at == complete && (complete > 0 || m_partialEvent.empty());
+                ++at;
+                if (endsBlankLine || (knownPairs && endLine()))
+                    complete = at;
+                continue;
+            }
         }
         const size_t end = std::min(bytes.find_first_of("\r\n", at), bytes.size());
         addToLine(bytes.substr(at, end - at));
@@ -51,6 +60,9 @@
         m_afterCarriageReturn = bytes[at] == '\r';
         checkLineEnd(bytes[at]);
         ++at;
+        // Where lines end with CR and LF, a CR alone ends none.
+        if (m_afterCarriageReturn && m_pairsLineEnds == true)
+            continue;
         if (endLine())
             complete = at;
     }
@@ -71,6 +83,7 @@
     m_line.clear();
     m_lineLength = 0;
     m_afterCarriageReturn = false;
+    m_pairsLineEnds.reset();
     m_hasField = false;
     m_hasId = false;
     m_hasData = false;
--- a/libs/relay/tests/event_splitter_test.cpp
+++ b/libs/relay/tests/event_splitter_test.cpp
@@ -44,6 +44,34 @@
     }
 }
 
+// Guards against ORDER: a stream that was cut between the CR and the LF that end its last event was told as complete.
+TEST(EventSplitterTest, AnEventIsCompleteWithItsLastByteOnly)
+{
+    for (const std::string end : { "\n", "\r\n", "\r" }) {
+        const std::string first = withLineEnds("id: 1\nevent: text\ndata: a\n\n", end);
+        const std::string stream = first + withLineEnds("data: b\nid: 2\n\n", end);
+        for (size_t length = 0; length <= stream.size(); ++length) {
+            event_splitter splitter;
+            const std::string events = feedInSteps(splitter, stream.substr(0, length), 3);
+            const bool isWhole = length == 0 || length == first.size() || length == stream.size();
+            EXPECT_EQ(splitter.isWithinEvent(), !isWhole) << length << " of " << stream;
+            EXPECT_EQ(events.size(), length < first.size() ? 0 : length < stream.size() ? first.size() : length);
+        }
+    }
+}
+
+// Guards against ORDER: the blank line of another writer ended an event whose own lines end otherwise.
+TEST(EventSplitterTest, LineEndsOfTwoKindsAreAFault)
+{
+    for (const char* mixed : { "id: 1\r\ndata: 1\r\r", "id: 1\rdata: 1\r\n\r\n", "id: 1\r\ndata: 1\rx",
+             "id: 1\ndata: 1\r\n\r\n", "id: 1\r\ndata: 1\n\n" }) {
+        event_splitter splitter;
+        const std::string bytes = std::string(mixed) + "x";
+        EXPECT_EQ(feedInSteps(splitter, bytes, 1), "") << bytes;
+        EXPECT_EQ(splitter.fault(), stream_fault::LineEnd) << bytes;
+    }
+}
+
 // Guards against a stream that is split differently by the pieces in which it arrives, and bytes that are lost or
 // moved.
 TEST(EventSplitterTest, SplitsAtTheSameEventsForAllLineEnds)
