Frame no answer that its server did not frame

Cause: an answer with neither a length nor chunks ends with its connection.

Change: such an answer goes out as it came, without length and chunks, and ends with an orderly close. Until then the socket resets at a close, so that an answer that the daemon breaks off, or a daemon that is killed, does not look like the end (the reason against this way in docs/design/streams.md). A response that has begun with chunks and goes on with a run without framing gets no last chunk; its server is not blamed.

Evidence: AnEndThatTheServerDidNotFrameIsNotFramed and AnUnframedStreamThatBreaksOffIsReset, over raw sockets; the first cannot pass on the code before, which frames everything. All tests of broken answers, of http and of planned stops pass.

--- a/libs/gateway/tests/gateway_fakes.h
+++ b/libs/gateway/tests/gateway_fakes.h
@@ -28,6 +28,10 @@
         body = replyBody;
         ended = true;
     }
+    void startUnframedStream(int replyStatus, const http_headers& replyHeaders) override
+    {
+        startStream(replyStatus, replyHeaders);
+    }
     void startStream(int replyStatus, const http_headers& replyHeaders) override
     {
         EXPECT_EQ(status, 0) << "answered twice";
--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -77,6 +77,10 @@
     virtual void pauseReading() = 0;
     virtual void resumeReading() = 0;
 
+    // The response has neither a length nor chunks, so that only an orderly close of the connection marks its end.
+    // Known from onHead() on.
+    virtual bool endsWithConnection() const = 0;
+
     // Closes the connection at the end of the exchange instead of returning it to the pool, for a server whose
     // further responses on it cannot be trusted.
     virtual void closeWhenFinished() = 0;
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -26,6 +26,9 @@
 
     // Streams a response with chunked transfer coding.
     virtual void startStream(int status, const http_headers& headers) = 0;
+    // Streams a response that has neither a length nor chunks, so that only an orderly close of the connection marks
+    // its end. If the response is aborted or the process ends before, the connection is reset.
+    virtual void startUnframedStream(int status, const http_headers& headers) = 0;
     virtual void sendPart(std::string_view bytes) = 0;
     virtual void endStream() = 0;
 
--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -52,6 +52,9 @@
     void pauseReading();
     void resumeReading();
 
+    // The response that is being read ends with the connection. Known once its head is complete.
+    bool responseEndsWithConnection() const { return m_parser && m_parser->endsWithConnection(); }
+
 private:
     void startParser();
     void onEvent(short what);
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -147,6 +147,8 @@
             m_connection->resumeReading();
     }
 
+    bool endsWithConnection() const override { return m_connection && m_connection->responseEndsWithConnection(); }
+
     void closeWhenFinished() override { m_closeWhenFinished = true; }
 
 private:
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -124,6 +124,7 @@
     const std::string& callerAddress() const override { return m_callerAddress; }
     void reply(int status, const http_headers& headers, std::string_view body) override;
     void startStream(int status, const http_headers& headers) override;
+    void startUnframedStream(int status, const http_headers& headers) override;
     void sendPart(std::string_view bytes) override;
     void endStream() override;
     void abort() override;
@@ -203,7 +204,7 @@
     {
         if (m_closed)
             return;
-        writeHead(status, headers, true, body.size());
+        writeHead(status, headers, "Content-Length: " + std::to_string(body.size()));
         if (m_method != "HEAD" && !hasNoBody(status))
             bufferevent_write(m_bufferEvent, body.data(), body.size());
         writeImmediately(m_bufferEvent);
@@ -214,7 +215,18 @@
     {
         if (m_closed)
             return;
-        writeHead(status, headers, false, 0);
+        writeHead(status, headers, "Transfer-Encoding: chunked");
+        writeImmediately(m_bufferEvent);
+    }
+
+    void startUnframedStream(int status, const http_headers& headers)
+    {
+        if (m_closed)
+            return;
+        m_keepAlive = false;
+        m_isUnframed = true;
+        resetAtClose(true);
+        writeHead(status, headers, "");
         writeImmediately(m_bufferEvent);
     }
 
@@ -224,9 +236,11 @@
             return;
         evbuffer* output = bufferevent_get_output(m_bufferEvent);
         const bool wasDrained = unsentBytes() == 0;
-        evbuffer_add_printf(output, "%zx\r\n", bytes.size());
+        if (!m_isUnframed)
+            evbuffer_add_printf(output, "%zx\r\n", bytes.size());
         evbuffer_add(output, bytes.data(), bytes.size());
-        evbuffer_add(output, "\r\n", 2);
+        if (!m_isUnframed)
+            evbuffer_add(output, "\r\n", 2);
         if (wasDrained)
             startSendTimer();
         writeImmediately(m_bufferEvent);
@@ -236,7 +250,7 @@
     {
         if (m_closed)
             return;
-        if (m_method != "HEAD")
+        if (m_method != "HEAD" && !m_isUnframed)
             bufferevent_write(m_bufferEvent, "0\r\n\r\n", 5);
         writeImmediately(m_bufferEvent);
         completeResponse();
@@ -349,13 +363,15 @@
         const std::string body = std::string("{\"error\":{\"run\":\"not_run\",\"type\":\"") + reason.type + "\"}}\n";
         m_keepAlive = false;
         m_method = "GET";
-        writeHead(reason.status, { { "Content-Type", "application/json" } }, true, body.size());
+        writeHead(reason.status, { { "Content-Type", "application/json" } },
+            "Content-Length: " + std::to_string(body.size()));
         bufferevent_write(m_bufferEvent, body.data(), body.size());
         writeImmediately(m_bufferEvent);
         completeResponse();
     }
 
-    void writeHead(int status, const http_headers& headers, bool hasLength, size_t length)
+    // framing: the header line that tells how the body ends; empty if there is none.
+    void writeHead(int status, const http_headers& headers, const std::string& framing)
     {
         const auto server = m_server.lock();
         if (!server || server->closing)
@@ -363,10 +379,8 @@
         evbuffer* output = bufferevent_get_output(m_bufferEvent);
         evbuffer_add_printf(output, "HTTP/1.1 %d %s\r\n", status, reasonPhrase(status));
         addHeaderLines(output, headers);
-        if (!hasLength)
-            evbuffer_add_printf(output, "Transfer-Encoding: chunked\r\n");
-        else if (!hasNoBody(status))
-            evbuffer_add_printf(output, "Content-Length: %zu\r\n", length);
+        if (!framing.empty() && !hasNoBody(status))
+            evbuffer_add_printf(output, "%s\r\n", framing.c_str());
         evbuffer_add_printf(output, m_keepAlive ? "\r\n" : "Connection: close\r\n\r\n");
     }
 
@@ -424,10 +438,19 @@
         if (!m_finishing || m_lingering)
             return;
         m_lingering = true;
+        if (m_isUnframed)
+            resetAtClose(false);
         shutdown(bufferevent_getfd(m_bufferEvent), SHUT_WR);
         m_timer.startOnce(lingerTimeout);
     }
 
+    // Whether a close of the connection, also by the end of the process, is a reset.
+    void resetAtClose(bool enabled)
+    {
+        const linger option { enabled ? 1 : 0, 0 };
+        setsockopt(bufferevent_getfd(m_bufferEvent), SOL_SOCKET, SO_LINGER, &option, sizeof option);
+    }
+
     void onCallerDisconnected()
     {
         const auto self = shared_from_this();
@@ -459,6 +482,8 @@
     std::string m_method;
     duration m_idleTimeout { 0 };
     bool m_keepAlive = true;
+    // The response ends with the connection.
+    bool m_isUnframed = false;
     bool m_countedAsOpen = false;
     bool m_closed = false;
     // The last response is being written; further input is discarded.
@@ -482,6 +507,12 @@
         m_connection->startStream(status, headers);
 }
 
+void http_server::connection_request::startUnframedStream(int status, const http_headers& headers)
+{
+    if (m_connection)
+        m_connection->startUnframedStream(status, headers);
+}
+
 void http_server::connection_request::sendPart(std::string_view bytes)
 {
     if (m_connection)
--- a/libs/http/src/message_parser.h
+++ b/libs/http/src/message_parser.h
@@ -51,6 +51,8 @@
     bool started() const { return this->got_some(); }
     bool headComplete() const { return this->is_header_done(); }
     bool keepAlive() const { return this->keep_alive(); }
+    // The message has neither a length nor chunks and ends with its connection. Known once the head is complete.
+    bool endsWithConnection() const { return this->need_eof(); }
     int status() const { return m_status; }
     const std::string& method() const { return m_method; }
     const std::string& target() const { return m_target; }
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -592,7 +592,7 @@
         if (m_traits.anyModel)
             m_dependencies.escalation.countAnswer(m_firstByteAt - m_start <= m_admission.route->latencyObjective);
         m_dependencies.metrics.observeFirstByte(m_admission.route->name, teamName(), m_firstByteAt - m_start);
-        m_request->startStream(m_status, m_headers);
+        startCallersStream(!m_exchange->endsWithConnection());
     }
     m_request->sendPart(events);
     if (m_paused || m_request->unsentBytes() < streamBufferBytes)
@@ -607,6 +607,15 @@
     });
 }
 
+void relay_exchange::startCallersStream(bool isFramed)
+{
+    m_isCallerFramed = isFramed;
+    if (isFramed)
+        m_request->startStream(m_status, m_headers);
+    else
+        m_request->startUnframedStream(m_status, m_headers);
+}
+
 void relay_exchange::onFinished(const exchange_result& result)
 {
     const auto self = shared_from_this();
@@ -621,7 +630,8 @@
         retryOrFail("not_run", true);
         return;
     }
-    if (!isWhole(answerEnd(result))) {
+    const answer_end ended = answerEnd(result);
+    if (!isWhole(ended)) {
         m_dependencies.state.servers().reportFailure(server, m_dependencies.time.now());
         const char* reason = isStreamAnswer() ? streamCutReason : otherAnswerReason;
         discardAnswer(reason);
@@ -636,7 +646,7 @@
         retryOrFail("server_error", true);
         return;
     }
-    finishAnswer();
+    finishAnswer(ended.body);
 }
 
 // Before the first answer there may be no route yet.
@@ -711,18 +721,32 @@
         m_dependencies.largestModelPace.count(m_service, expectedTokens(), m_dependencies.time.now() - m_firstByteAt);
 }
 
-void relay_exchange::finishAnswer()
+void relay_exchange::finishAnswer(body_end bodyEnd)
 {
+    const bool isUnframed = bodyEnd == body_end::Connection;
     if (isStreamAnswer() || m_streamStarted) {
         // Blank lines and comments may follow the last event.
         m_request->sendPart(m_events.partialEvent());
-        m_request->endStream();
         m_paceTimer.stop();
         recordAnswerPace();
+        // The last server did not say that this is the end, so a response that has begun with chunks gets no last one.
+        if (isUnframed && m_isCallerFramed) {
+            m_lastReason = "end_not_framed";
+            m_request->abort();
+            end("stream_broken");
+            return;
+        }
+        m_request->endStream();
     } else {
         m_dependencies.metrics.observeFirstByte(
             m_admission.route->name, teamName(), m_dependencies.time.now() - m_start);
-        m_request->reply(m_status, m_headers, m_body.text());
+        if (isUnframed) {
+            startCallersStream(false);
+            m_request->sendPart(m_body.text());
+            m_request->endStream();
+        } else {
+            m_request->reply(m_status, m_headers, m_body.text());
+        }
     }
     const bool answered = m_status < firstServerErrorStatus;
     if (!answered)
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -99,7 +99,9 @@
     void retryOrFail(const char* reason, bool arrived);
     void stopAnswer(const char* reason);
     void forwardEvents(const std::string& events);
-    void finishAnswer();
+    // Starts the caller's response, with the framing that the server's answer has.
+    void startCallersStream(bool isFramed);
+    void finishAnswer(body_end bodyEnd);
     void onExchangeFailed(const exchange_result& result);
     void countAnswer(bool good);
     // All requests of the service are being moved to another version. For some time, many first bytes are late and
@@ -188,6 +190,8 @@
     // For the partial event.
     memory_reservation m_eventMemory;
     bool m_streamStarted = false;
+    // The caller's response has chunks.
+    bool m_isCallerFramed = false;
     // Complete events before the current attempt.
     size_t m_earlierEvents = 0;
     bool m_paused = false;
--- a/standins/tests/broken_answer_test.cpp
+++ b/standins/tests/broken_answer_test.cpp
@@ -74,6 +74,8 @@
 const std::string serverError = "HTTP/1.1 500 Internal Server Error\r\nPollenroute-Request-Id: id-1\r\n"
                                 "Content-Length: 20\r\n\r\nid: 7\ndata: broken\n\n";
 
+const std::string unframedError = "HTTP/1.1 500 Internal Server Error\r\nPollenroute-Request-Id: id-1\r\n\r\nno";
+
 // Without a length, so that the answer ends with its connection.
 std::string unframed(const std::string& body) { return head + "\r\n" + body; }
 std::string framed(const std::string& body)
@@ -118,6 +120,7 @@
         std::optional<told_answer> told;
         m_caller.fetch(daemon.address(), message, {}, [&](const exchange_result& result, const http_response& reply) {
             told = told_answer { result.ok(), reply.status, reply.body };
+            m_wasUnframed = result.endedWithConnection;
         });
         EXPECT_TRUE(m_loop.runUntil([&] { return told.has_value(); }, patience));
         return told.value_or(told_answer {});
@@ -145,6 +148,8 @@
     null_logger m_log;
     os_clock m_time;
     http_client m_caller { m_loop };
+    // Nothing but the close of its connection marked the end of the last answer.
+    bool m_wasUnframed = false;
 };
 
 } // namespace
@@ -179,6 +184,53 @@
     expectTold(cases);
 }
 
+// Guards against ORDER and MIXED: an answer whose end only the close of the server's connection marked reached its
+// caller with a last chunk or a length, which told that it was complete.
+TEST_F(BrokenAnswerTest, AnEndThatTheServerDidNotFrameIsNotFramed)
+{
+    const std::string rest = event(2) + event(3);
+    const std::string whole = event(1) + rest;
+    const byte_server::reply cut { chunk(event(1)), true };
+    struct end_case {
+        const char* what;
+        const char* target;
+        std::vector<byte_server::reply> script;
+        told_answer expected;
+        bool isUnframed;
+    };
+    const std::vector<end_case> cases {
+        { "whole", "/s/x", { { unframed(whole) } }, { true, 200, whole }, true },
+        { "cut behind an event", "/s/x", { { unframed(event(1)) } }, { true, 200, event(1) }, true },
+        { "a length", "/s/x", { { framed(whole) } }, { true, 200, whole }, false },
+        { "chunks", "/s/x", { { chunk(whole) + "0\r\n\r\n" } }, { true, 200, whole }, false },
+        { "cut within an event, then a length", "/s/x", { { unframed(event(1) + "id: 2\n") }, { framed(rest) } },
+            { true, 200, whole }, true },
+        { "reset, then a length", "/s/x", { { unframed(event(1)), true }, { framed(rest) } }, { true, 200, whole },
+            true },
+        { "chunks, then no framing", "/s/x", { cut, { unframed(rest) } }, { false, 200, whole }, false },
+        { "chunks, then no framing, then an error", "/s/x", { cut, { unframed(rest) }, { serverError } },
+            { false, 200, whole }, false },
+        { "plain, an error", "/o/x", { { unframedError } }, { true, 500, "no" }, true },
+        { "plain", "/r/x", { { unframed("done") } }, { true, 200, "done" }, true },
+        { "plain, runs once", "/o/x", { { unframed("done") } }, { true, 200, "done" }, true },
+        { "plain, a length", "/o/x", { { framed("done") } }, { true, 200, "done" }, false },
+    };
+    for (const end_case& item : cases) {
+        const told_answer told = send(item.target, item.script);
+        EXPECT_EQ(told, item.expected) << item.what << ": " << told.complete << ' ' << told.status << ' ' << told.body;
+        EXPECT_EQ(m_wasUnframed, item.isUnframed) << item.what;
+    }
+}
+
+// Guards against ORDER: a stream broken off by the daemon ended with an orderly close, as one does that is complete and
+// has no framing.
+TEST_F(BrokenAnswerTest, AnUnframedStreamThatBreaksOffIsReset)
+{
+    const std::string cut = unframed(event(1) + "id: 2\n");
+    EXPECT_EQ(send("/s/x", { { cut }, { serverError } }), (told_answer { false, 200, event(1) }));
+    EXPECT_EQ(send("/s/x", { { unframed(event(1)), true }, { serverError } }), (told_answer { false, 200, event(1) }));
+}
+
 // Guards against ORDER: a stream that broke off within its first event was passed on as a whole body without events,
 // although a length or a last chunk says nothing of the event.
 TEST_F(BrokenAnswerTest, AStreamThatBreaksOffWithinItsFirstEventIsRunAgain)
