Count as news only what has changed in pending work and crash reports

- A member that reported its pending work anew made news of all its servers, changed or not, and zeros could outnumber the sums: only what differs counts now, and all sums are sent where these are fewer.
- One daemon's report on a prompt part sent those of all daemons on it again: changes are numbered by report.
- Changes of another group's sums could be applied to this group's: they are ignored.
- Carried records held up the few new ones after a restore of the store: they are sent to daemons that have the new ones.
- A table entry was made before the bound on reports was checked.

--- a/libs/relay/include/relay/crash_table.h
+++ b/libs/relay/include/relay/crash_table.h
@@ -60,9 +60,9 @@
         // Reports of this daemon only.
         Self,
     };
-    // The reports among them that changed after the given change, about as many as the limit says. The cost depends on
-    // the later changes, not on the size of the table. The table of the result is left open.
-    crash_changes unstoredSince(uint64_t change, reporters reporters, size_t maximumReports) const;
+    // The reports among them that changed after the given change, the oldest change first. The cost depends on the
+    // later changes, not on the size of the table. Does not set state.table of the result.
+    crash_changes unstoredSince(uint64_t change, reporters from, size_t maximumReports) const;
 
     // Stored reports that have expired or exceed the maximum number of requests; at most one batch.
     std::vector<crash_report_key> outdated(int64_t now) const;
@@ -79,13 +79,15 @@
     struct row {
         crash_report report;
         std::optional<crash_report> stored;
+        // The last change of the report.
+        uint64_t change = 0;
     };
     // State of one request.
     struct entry {
         std::map<instance_id, row> byDaemon;
         bool quarantineReported = false;
-        // The last change of the entry.
-        uint64_t change = 0;
+        // Other daemons need the reports: some crash is not explained, or they know of one.
+        bool isShared = false;
     };
 
     static int64_t lastAnswerMilliseconds(const entry& request);
@@ -104,15 +106,15 @@
     // Returns this daemon's report for modification and increments its revision.
     crash_report& updateOwnReport(uint64_t fingerprint, entry& request);
     void mergeOwn(row& own, const crash_report& report);
-    // To be called after each change of an entry.
-    void recordChange(uint64_t fingerprint, entry& request);
-    static bool hasUnstored(const entry& request);
+    // To be called after each change of a daemon's report on a request.
+    void recordChange(uint64_t fingerprint, entry& request, const instance_id& daemon);
+    void renumber(uint64_t fingerprint, const instance_id& daemon, row& changed);
 
     instance_id m_self;
     std::unordered_map<uint64_t, entry> m_requests;
     uint64_t m_change = 0;
-    // Requests with reports that the store does not hold, by their last change.
-    std::map<uint64_t, uint64_t> m_unstoredByChange;
+    // The reports that the store does not hold, by their last change.
+    std::map<uint64_t, crash_report_key> m_unstoredByChange;
     // Time of the last response to each request and part that this daemon saw answered recently.
     std::unordered_map<uint64_t, int64_t> m_answerMilliseconds;
 };
--- a/libs/relay/include/relay/group_work.h
+++ b/libs/relay/include/relay/group_work.h
@@ -9,7 +9,7 @@
 namespace pollen {
 
 // The pending work of the daemons of a group, summed up by server. Its leader sends each member what has changed since
-// the member's last request, so that a reply costs no more than there is news, whatever the size of the group.
+// the member's last request, or all sums where these are fewer.
 class group_work {
 public:
     // id: random number of the process.
@@ -41,7 +41,7 @@
     using sums = std::list<sum>;
 
     enum class sign { Plus, Minus };
-    void add(const std::vector<server_work>& work, sign sign);
+    void add(const std::vector<server_work>& work, sign direction);
     void discardEmpty();
 
     uint64_t m_id;
--- a/libs/relay/src/crash_table.cpp
+++ b/libs/relay/src/crash_table.cpp
@@ -71,21 +71,26 @@
     if (crashes.size() > maximumCrashesPerReport)
         crashes.erase(crashes.begin());
     applyAnswer(fingerprint, known);
-    recordChange(fingerprint, known);
+    recordChange(fingerprint, known, m_self);
 }
 
-void crash_table::recordChange(uint64_t fingerprint, entry& request)
+void crash_table::recordChange(uint64_t fingerprint, entry& request, const instance_id& daemon)
 {
-    m_unstoredByChange.erase(request.change);
-    request.change = ++m_change;
-    if (hasUnstored(request))
-        m_unstoredByChange[request.change] = fingerprint;
+    // Crashes explained before any other daemon learned of them need not be published.
+    const bool isShared = !unexplainedCrashes(request).empty() || isKnownToOthers(request);
+    const bool becomesShared = !std::exchange(request.isShared, isShared) && isShared;
+    for (auto& [reporter, row] : request.byDaemon) {
+        if (becomesShared || reporter == daemon)
+            renumber(fingerprint, reporter, row);
+    }
 }
 
-bool crash_table::hasUnstored(const entry& request)
+void crash_table::renumber(uint64_t fingerprint, const instance_id& daemon, row& changed)
 {
-    return std::any_of(request.byDaemon.begin(), request.byDaemon.end(),
-        [](const auto& item) { return item.second.stored != item.second.report; });
+    m_unstoredByChange.erase(changed.change);
+    changed.change = ++m_change;
+    if (changed.stored != changed.report)
+        m_unstoredByChange[changed.change] = { fingerprint, daemon };
 }
 
 void crash_table::withdrawCrash(uint64_t fingerprint, const instance_id& server, int64_t timeMilliseconds)
@@ -96,7 +101,7 @@
     std::erase_if(updateOwnReport(fingerprint, found->second).crashes, [&](const server_crash& crash) {
         return crash.server == server && crash.timeMilliseconds == timeMilliseconds;
     });
-    recordChange(fingerprint, found->second);
+    recordChange(fingerprint, found->second, m_self);
 }
 
 void crash_table::addAnswer(uint64_t fingerprint, int64_t now)
@@ -119,7 +124,7 @@
     if (!explains)
         return;
     updateOwnReport(fingerprint, request).lastAnswerMilliseconds = answer->second;
-    recordChange(fingerprint, request);
+    recordChange(fingerprint, request, m_self);
 }
 
 void crash_table::merge(const crash_report& report, bool stored)
@@ -136,7 +141,7 @@
     known.report.key = report.key;
     applyAnswer(report.key.fingerprint, request);
     if (known.report != before.report || known.stored != before.stored)
-        recordChange(report.key.fingerprint, request);
+        recordChange(report.key.fingerprint, request, report.key.daemon);
 }
 
 // Reports of this daemon from before a restart stay valid and are combined with what it has seen since.
@@ -166,7 +171,7 @@
         found->second.byDaemon.erase(known);
     else
         known->second.stored.reset();
-    recordChange(key.fingerprint, found->second);
+    recordChange(key.fingerprint, found->second, key.daemon);
     if (found->second.byDaemon.empty())
         m_requests.erase(found);
 }
@@ -273,23 +278,19 @@
     return unstoredSince(0, reporters::All, maximumBatchReports).reports;
 }
 
-crash_changes crash_table::unstoredSince(uint64_t change, reporters reporters, size_t maximumReports) const
+crash_changes crash_table::unstoredSince(uint64_t change, reporters from, size_t maximumReports) const
 {
     crash_changes changes { { 0, m_change }, {} };
     for (auto item = m_unstoredByChange.upper_bound(change); item != m_unstoredByChange.end(); ++item) {
-        const entry& request = m_requests.at(item->second);
-        // Crashes explained before any other daemon learned of them need not be published.
-        if (unexplainedCrashes(request).empty() && !isKnownToOthers(request))
+        const auto& [fingerprint, daemon] = item->second;
+        const entry& request = m_requests.at(fingerprint);
+        if (!request.isShared || (from == reporters::Self && daemon != m_self))
             continue;
         if (changes.reports.size() >= maximumReports) {
             changes.state.change = item->first - 1;
-            return changes;
-        }
-        for (const auto& [daemon, row] : request.byDaemon) {
-            const bool isReported = reporters == reporters::All || daemon == m_self;
-            if (isReported && row.stored != row.report)
-                changes.reports.push_back(row.report);
+            break;
         }
+        changes.reports.push_back(request.byDaemon.at(daemon).report);
     }
     return changes;
 }
@@ -356,8 +357,10 @@
     const int64_t oldest = oldestKeptMilliseconds();
     std::erase_if(m_requests, [&](const auto& item) {
         const bool isErased = isOutdated(item.second, now, oldest) && !isKnownToOthers(item.second);
-        if (isErased)
-            m_unstoredByChange.erase(item.second.change);
+        for (const auto& [daemon, row] : item.second.byDaemon) {
+            if (isErased)
+                m_unstoredByChange.erase(row.change);
+        }
         return isErased;
     });
 }
--- a/libs/relay/src/group_work.cpp
+++ b/libs/relay/src/group_work.cpp
@@ -11,6 +11,13 @@
 // Sums of zero are kept so that members learn of them. Beyond this number all are discarded.
 constexpr size_t maximumEmptySums = 1024;
 
+std::vector<server_work> without(std::vector<server_work> work, const std::vector<server_work>& removed)
+{
+    std::erase_if(work,
+        [&](const server_work& item) { return std::find(removed.begin(), removed.end(), item) != removed.end(); });
+    return work;
+}
+
 bool isEmpty(const server_work& work) { return work.requests == 0 && work.unreadTokens == 0; }
 
 } // namespace
@@ -19,10 +26,9 @@
 {
     member& known = m_members[daemon];
     known.reportedAt = now;
-    if (known.work == work)
-        return;
-    add(known.work, sign::Minus);
-    add(work, sign::Plus);
+    // A sum counts as changed only if the daemon reports something else than before.
+    add(without(known.work, work), sign::Minus);
+    add(without(work, known.work), sign::Plus);
     known.work = std::move(work);
     discardEmpty();
 }
@@ -37,7 +43,7 @@
     });
 }
 
-void group_work::add(const std::vector<server_work>& work, sign sign)
+void group_work::add(const std::vector<server_work>& work, sign direction)
 {
     ++m_change;
     for (const server_work& item : work) {
@@ -52,7 +58,7 @@
         sum& changed = m_sums.back();
         m_empty -= !isNew && isEmpty(changed.work) ? 1 : 0;
         changed.change = m_change;
-        if (sign == sign::Plus) {
+        if (direction == sign::Plus) {
             changed.work.requests += item.requests;
             changed.work.unreadTokens += item.unreadTokens;
         } else {
@@ -79,7 +85,11 @@
 work_change group_work::changeSince(const work_state& known) const
 {
     work_change change;
-    change.isComplete = known.sum != m_id || known.change < m_discardedChange;
+    const auto isNews = [&](const sum& item) { return item.change > known.change; };
+    const auto news
+        = static_cast<size_t>(std::distance(m_sums.rbegin(), std::find_if_not(m_sums.rbegin(), m_sums.rend(), isNews)));
+    const size_t all = m_sums.size() - m_empty;
+    change.isComplete = known.sum != m_id || known.change < m_discardedChange || news > all;
     change.state = { m_id, m_change };
     for (auto item = m_sums.rbegin(); item != m_sums.rend(); ++item) {
         if (!change.isComplete && item->change <= known.change)
--- a/libs/relay/src/rollout_reports.cpp
+++ b/libs/relay/src/rollout_reports.cpp
@@ -15,10 +15,10 @@
 {
     const key origin { report.service, report.target, report.daemon, report.incarnation };
     const auto known = m_reports.find(origin);
+    if (known == m_reports.end() && m_reports.size() >= maximumReports)
+        return false;
     rollout_evidence& evidence = m_evidence[{ report.service, report.target }];
     if (known == m_reports.end()) {
-        if (m_reports.size() >= maximumReports)
-            return false;
         m_reports.emplace(origin, received_report { report, now, path });
         evidence += report.evidence;
         return true;
--- a/libs/relay/src/shared_topic.cpp
+++ b/libs/relay/src/shared_topic.cpp
@@ -199,7 +199,9 @@
         change.records.push_back(record);
         partRecords += bytes <= limits.part ? 1 : 0;
     };
-    if (change.isSnapshot || known.carriedDigest != m_carriedDigest) {
+    // The later records alone may settle what is carried, so it is sent to daemons that have these.
+    const bool lacksCarried = known.carriedDigest != m_carriedDigest && known.position == m_position;
+    if (change.isSnapshot || lacksCarried) {
         for (auto record = m_byPosition.begin(); record != first && !change.isOmitted; ++record)
             add(**record);
     }
--- a/libs/relay/src/work_view.cpp
+++ b/libs/relay/src/work_view.cpp
@@ -6,6 +6,9 @@
 
 void work_view::apply(const work_change& change)
 {
+    // Changes of another sum say nothing of this one.
+    if (!change.isComplete && change.state.sum != m_state.sum)
+        return;
     if (change.isComplete)
         m_sums.clear();
     for (const server_work& item : change.work) {
