Look for newer entries of servers as for a newer configuration

Cause, besides the full links: nobody looked at the age of the entries. A leader whose read of them failed or hung was current for its group as long as it read the configuration. The waits in a row, for a limit of 4,000 ms: pause 1,333, wait 800, time-out of the call 1,200, retry, request of a member 300: 3.8 s and more where one call is lost.

Change: a leader that does not read the entries, or whose entries are older than half of the drain limit, says so as it does for the configuration; its deputies read the store, the others query these. Decisions on roll-outs still depend on the configuration's reads alone. Later parts of a change are asked for at once, by comparing leaders as well, and an omitted change at an equal position is read.

Evidence: ALeaderThatDoesNotReadTheServersIsReplaced.

--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -15,6 +15,9 @@
 // of them has missed is then known everywhere within half of that time: a comparison, one that is lost, and the request
 // of a member.
 constexpr int comparisonsPerLimit = 5;
+// Entries of servers that are older than this share of the drain limit are looked for elsewhere; the other half is left
+// to get them and to pass them on.
+constexpr int serverAgesPerDrainLimit = 2;
 // The platform's settings hold no secret that only daemons know; the tag of a frame only shows that it is whole.
 constexpr const char* peerSecret = "pollenroute";
 // Prefixes of the messages between daemons. The prefix changes with the format, so that daemons of two releases give
@@ -36,7 +39,8 @@
 fleet_sync::limits syncLimits(const node_settings& settings)
 {
     const duration wait = platform_store::configurationWait(settings);
-    return { wait + peerAgeMargin, wait + storeAgeMargin, settings.configurationLimit / comparisonsPerLimit };
+    return { wait + peerAgeMargin, wait + storeAgeMargin, settings.drainLimit / serverAgesPerDrainLimit,
+        settings.configurationLimit / comparisonsPerLimit };
 }
 
 } // namespace
--- a/libs/relay/include/relay/fleet_store.h
+++ b/libs/relay/include/relay/fleet_store.h
@@ -34,6 +34,9 @@
     // False while reads of the configuration fail or are overdue. Only meaningful for a leader.
     virtual bool isReachable() const = 0;
 
+    // The same for the reads of the backend servers' entries.
+    virtual bool serversReachable() const = 0;
+
     // Starts or stops reading the store; a daemon that is not a leader syncs with other daemons instead.
     virtual void setLeader(bool isLeader) = 0;
 
--- a/libs/relay/include/relay/fleet_sync.h
+++ b/libs/relay/include/relay/fleet_sync.h
@@ -42,6 +42,8 @@
         // A fleet state older than these limits shows that its holder has lost its source.
         duration maximumPeerAge { 0 };
         duration maximumOwnAge { 0 };
+        // The same for the entries of backend servers, whoever holds them.
+        duration maximumServerAge { 0 };
         // Interval at which a leader that reads the store compares its state with that of another leader.
         duration comparisonInterval { 0 };
     };
@@ -89,6 +91,8 @@
     bool hasLostStore(const instance_id& peer, time_point now) const;
     // Whether this daemon, or the one that it queries, cannot read the store.
     bool hasLostStore(time_point now) const;
+    // Whether this leader reads the configuration and the entries of servers, and the entries are young enough.
+    bool readsStore(time_point now) const;
     // This leader's state may be outdated although it leads.
     bool needsSubstitute(time_point now) const;
     // Number of daemons of the failure domain with a lower id.
@@ -120,7 +124,7 @@
     void reportAges(time_point now);
     std::vector<server_work> ownWork() const;
     // This daemon's crash reports for another one that knows them as far as the state says.
-    crash_changes crashesFor(const crash_state& known, crash_table::reporters reporters) const;
+    crash_changes crashesFor(const crash_state& known, crash_table::reporters from) const;
     void mergeCrashes(const crash_changes& changes);
     // Reports this daemon's own pending work to its group; a leader learns that of the members.
     void updateWork(time_point now);
@@ -165,6 +169,7 @@
     instance_id m_lastQueried;
     bool m_isLeader = false;
     bool m_couldReadStore = true;
+    bool m_didReadStore = true;
     std::optional<time_point> m_startedAt;
     // Last reply with an incomplete or too old fleet state.
     std::optional<time_point> m_staleReplyAt;
--- a/libs/relay/src/fleet_sync.cpp
+++ b/libs/relay/src/fleet_sync.cpp
@@ -19,7 +19,7 @@
 // Changes of a topic beyond this size are sent in parts, so that the replies to all members fit onto the leader's link
 // before they count as silent.
 constexpr size_t maximumPartBytes = 8U << 10;
-// Crash reports in a message, of about 100 bytes each. Further ones follow with the next message, or come from the
+// Crash reports in a message, of 100 to 350 bytes each. Further ones follow with the next message, or come from the
 // store.
 constexpr size_t maximumCrashReports = 64;
 // The store should have supplied an omitted change by then.
@@ -52,6 +52,7 @@
 constexpr uint64_t minimumReportedRequests = 8;
 // The first topics, configuration and servers, are read at all times; the others only while they are needed.
 constexpr size_t alwaysReadTopics = 2;
+constexpr size_t serverTopic = 1;
 
 // Adds the time since it was made, or since the last lap, to the given sum.
 class lap_timer {
@@ -130,13 +131,21 @@
 
 void fleet_sync::noticeStoreLoss(time_point now)
 {
+    const bool reads = !m_isLeader || readsStore(now);
+    if (std::exchange(m_didReadStore, reads) && !reads)
+        m_nextRequest = now;
     const bool canRead = !m_isLeader || m_store.isReachable();
-    if (std::exchange(m_couldReadStore, canRead) == canRead)
-        return;
     // Without the store a leader knows the counts of its own group only, and must not decide for all.
-    m_rollouts.setLeader(m_isLeader && canRead);
-    if (!canRead)
-        m_nextRequest = now;
+    if (std::exchange(m_couldReadStore, canRead) != canRead)
+        m_rollouts.setLeader(m_isLeader && canRead);
+}
+
+bool fleet_sync::readsStore(time_point now) const
+{
+    const std::vector<shared_topic*> topics = m_store.topics();
+    const bool hasServers = topics.size() > serverTopic && topics[serverTopic]->isSynced();
+    const bool isCurrent = !hasServers || now - topics[serverTopic]->asOf() <= m_limits.maximumServerAge;
+    return m_store.isReachable() && m_store.serversReachable() && isCurrent;
 }
 
 // A leader queries others when its own state may be outdated, and otherwise to compare states from time to time.
@@ -175,7 +184,7 @@
 
 bool fleet_sync::needsSubstitute(time_point now) const
 {
-    return (m_isLeader && !m_store.isReachable()) || stateAge(now) >= m_limits.maximumOwnAge || isBackingOff(now);
+    return (m_isLeader && !readsStore(now)) || stateAge(now) >= m_limits.maximumOwnAge || isBackingOff(now);
 }
 
 // The first available daemon of each other failure domain probably leads it.
@@ -313,7 +322,7 @@
 
 bool fleet_sync::hasLostStore(time_point now) const
 {
-    return m_upstream.empty() ? m_isLeader && !m_store.isReachable() : hasLostStore(m_upstream, now);
+    return m_upstream.empty() ? m_isLeader && !readsStore(now) : hasLostStore(m_upstream, now);
 }
 
 void fleet_sync::reportLoad(time_point now)
@@ -338,7 +347,8 @@
     for (size_t i = 0; i < topics.size(); ++i) {
         if (!topics[i]->isSynced() || i >= alwaysReadTopics)
             continue;
-        const bool isOutdated = now - topics[i]->asOf() > m_limits.maximumPeerAge;
+        const duration limit = i == serverTopic ? m_limits.maximumServerAge : m_limits.maximumPeerAge;
+        const bool isOutdated = now - topics[i]->asOf() > limit;
         if (isOutdated == m_outdatedTopics.contains(i))
             continue;
         if (isOutdated)
@@ -405,7 +415,7 @@
 {
     const std::vector<shared_topic*> topics = m_store.topics();
     for (size_t i = 0; i < topics.size(); ++i) {
-        const bool isMissing = reply.changes[i].isOmitted && topics[i]->position() < reply.changes[i].position;
+        const bool isMissing = reply.changes[i].isOmitted && topics[i]->position() <= reply.changes[i].position;
         if (!isMissing) {
             m_omittedSince.erase(i);
             continue;
@@ -492,6 +502,8 @@
     const bool isPartial = std::any_of(
         reply.changes.begin(), reply.changes.end(), [](const topic_change& change) { return change.isPartial; });
     m_nextRequest = isPartial ? now : request.sentAt + requestInterval;
+    if (isPartial)
+        m_nextComparison = now;
     if (!reply.hasLostStore) {
         m_storeLosses.erase(request.peer.id);
         return;
@@ -506,7 +518,7 @@
         return;
     }
     // Nothing newer can be expected soon while all daemons that may read the store have lost it.
-    if (!m_isLeader)
+    if (!m_isLeader && !isPartial)
         m_nextRequest = request.sentAt + requestInterval * 2;
 }
 
@@ -541,10 +553,10 @@
     return work;
 }
 
-crash_changes fleet_sync::crashesFor(const crash_state& known, crash_table::reporters reporters) const
+crash_changes fleet_sync::crashesFor(const crash_state& known, crash_table::reporters from) const
 {
     const uint64_t change = known.table == m_process ? known.change : 0;
-    crash_changes changes = m_crashTable.unstoredSince(change, reporters, maximumCrashReports);
+    crash_changes changes = m_crashTable.unstoredSince(change, from, maximumCrashReports);
     changes.state.table = m_process;
     return changes;
 }
--- a/libs/relay/tests/configuration_delay_test.cpp
+++ b/libs/relay/tests/configuration_delay_test.cpp
@@ -58,10 +58,10 @@
             const std::string domain(1, static_cast<char>('a' + i % size.domains));
             const std::string id = domain + std::to_string(100 + i / size.domains);
             m_members.emplace_back();
-            m_members.back().daemon
-                = std::make_unique<sync_daemon>(m_network, m_time, id, domain.c_str(), static_cast<uint16_t>(i + 1),
-                    fleet_sync::limits { m_wait + std::chrono::milliseconds(500),
-                        m_wait + std::chrono::milliseconds(1000), size.configurationLimit / 5 });
+            m_members.back().daemon = std::make_unique<sync_daemon>(m_network, m_time, id, domain.c_str(),
+                static_cast<uint16_t>(i + 1),
+                fleet_sync::limits { m_wait + std::chrono::milliseconds(500), m_wait + std::chrono::milliseconds(1000),
+                    size.configurationLimit / 2, size.configurationLimit / 5 });
             listed.push_back(m_members.back().daemon->listed);
         }
         std::sort(listed.begin(), listed.end(), [](const auto& l, const auto& r) { return l.id < r.id; });
--- a/libs/relay/tests/fake_fleet_store.h
+++ b/libs/relay/tests/fake_fleet_store.h
@@ -27,6 +27,7 @@
     void setLeader(bool leader) override { isLeader = leader; }
     void readOnce(size_t) override { ++readsOnce; }
     bool isReachable() const override { return reachable; }
+    bool serversReachable() const override { return readsServers; }
     std::vector<shared_topic*> topics() override { return shared; }
     std::vector<listed_peer> daemons() const override { return listed; }
     size_t daemonCount() const override { return listed.size(); }
@@ -44,6 +45,7 @@
     bool following = false;
     bool isLeader = false;
     bool reachable = true;
+    bool readsServers = true;
     int readsOnce = 0;
 };
 
--- a/libs/relay/tests/fleet_sync_test.cpp
+++ b/libs/relay/tests/fleet_sync_test.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 const fleet_sync::limits limits { std::chrono::milliseconds(1300), std::chrono::milliseconds(1800),
-    std::chrono::milliseconds(400) };
+    std::chrono::milliseconds(1000), std::chrono::milliseconds(400) };
 const time_point start { std::chrono::seconds(1000) };
 
 // A position in the first era of the store.
@@ -454,6 +454,21 @@
     EXPECT_EQ(leaders(), (ids { "a1", "b1" }));
 }
 
+// Guards against DRAIN: a leader that read the configuration and no longer the entries of servers was taken for
+// current, and its group went on using servers that were leaving.
+TEST_F(FleetSyncTest, ALeaderThatDoesNotReadTheServersIsReplaced)
+{
+    write("config", "1");
+    run(std::chrono::seconds(3));
+    at("a1").store.readsServers = false;
+    run(std::chrono::milliseconds(700));
+    EXPECT_TRUE(at("a2").store.isLeader);
+    EXPECT_EQ(at("a3").sharing.upstream(), instance_id("a2"));
+    at("a1").store.readsServers = true;
+    run(std::chrono::seconds(4));
+    EXPECT_EQ(leaders(), (ids { "a1", "b1" }));
+}
+
 // Guards against EXPOSURE: a leader without the store knew the counts of its own group only and decided for all.
 TEST_F(FleetSyncTest, ALeaderWithoutTheStoreDoesNotDecideOnRollouts)
 {
--- a/libs/relay/tests/rollout_counts_test.cpp
+++ b/libs/relay/tests/rollout_counts_test.cpp
@@ -12,7 +12,7 @@
 constexpr duration step = std::chrono::milliseconds(50);
 constexpr duration timeLimit = std::chrono::seconds(40);
 const fleet_sync::limits limits { std::chrono::milliseconds(1300), std::chrono::milliseconds(1800),
-    std::chrono::milliseconds(400) };
+    std::chrono::milliseconds(1000), std::chrono::milliseconds(400) };
 
 // Daemons that count the requests of a roll-out, and share the counts through the store or with each other.
 class RolloutCountsTest : public testing::Test {
--- a/libs/relay/tests/sync_cost_test.cpp
+++ b/libs/relay/tests/sync_cost_test.cpp
@@ -35,7 +35,8 @@
         for (size_t i = 0; i < size.members; ++i) {
             const auto port = static_cast<uint16_t>(i + 1);
             m_daemons.push_back(std::make_unique<sync_daemon>(m_network, m_time, numbered("a", i), "a", port,
-                fleet_sync::limits { std::chrono::seconds(2), std::chrono::seconds(3), std::chrono::seconds(1) }));
+                fleet_sync::limits { std::chrono::seconds(2), std::chrono::seconds(3), std::chrono::seconds(2),
+                    std::chrono::seconds(1) }));
             sync_daemon& daemon = *m_daemons.back();
             daemon.servers.replaceListed(servers);
             daemon.table.applyOrder({ service, target, std::chrono::seconds(60) }, m_time.now());
