--- a/libs/relay/src/work_view.cpp
+++ b/libs/relay/src/work_view.cpp
@@ -27,7 +27,7 @@
     for (const auto& [server, sum] : m_sums) {
         server_work work = sum;
         const auto reported
-            = std::find_if(own.begin(), own.end(), [&](const server_work& item) { return item.server == server; });
+            = std::find_if(own.begin(), own.end(), [&](const server_work& item) { return item.server == work.server; });
         // Another daemon's sum may lack what this one has reported.
         if (reported != own.end()) {
             work.requests -= std::min(work.requests, reported->requests);
--- a/libs/relay/tests/group_work_test.cpp
+++ b/libs/relay/tests/group_work_test.cpp
@@ -54,7 +54,7 @@
         const instance_id daemon("a" + std::to_string(below(6)));
         std::vector<server_work> work;
         for (uint32_t i = 0; i < 4000; i += 1 + below(1500))
-            work.push_back({ instance_id("i-" + std::to_string(i)), 1 + below(3), below(3) * 1000 });
+            work.push_back({ instance_id("i-" + std::to_string(i)), 1 + below(3), 1000 * uint64_t { below(3) } });
         group.report(daemon, work, now);
         reported[daemon] = work;
         if (below(4) != 0)
@@ -72,6 +72,7 @@
         }
         std::erase_if(expected, [](const auto& item) { return item.second.requests == 0; });
         std::vector<server_work> list;
+        list.reserve(expected.size());
         for (const auto& [server, sum] : expected)
             list.push_back(sum);
         ASSERT_EQ(sorted(view.excluding(own)), list) << round;
--- a/libs/relay/tests/sync_cost_test.cpp
+++ b/libs/relay/tests/sync_cost_test.cpp
@@ -25,7 +25,6 @@
 class busy_group {
 public:
     explicit busy_group(const fleet_size& size)
-        : m_size(size)
     {
         m_time.advance(std::chrono::seconds(1000));
         std::vector<listed_server> servers(size.servers);
@@ -96,7 +95,6 @@
         ++m_records;
     }
 
-    fleet_size m_size;
     manual_clock m_time;
     fake_network m_network;
     std::vector<std::unique_ptr<sync_daemon>> m_daemons;
