Reset the connection of an exchange that fails

A server that had only closed its side, or had sent bytes that are no response, read an orderly end behind the request. Some servers take that for the end of the request and run it on, while the router sends a repeatable request to the next one (TWICE: "while the replica before still works on it").

Cause: client_connection::fail closed the connection before the exchange could abort it; abort() does nothing on a closed connection. Cancelled and timed-out exchanges were reset, failed ones were not.

--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -180,12 +180,15 @@
 
 void client_connection::fail(exchange_failure failure, bool refused)
 {
-    connection_listener* exchange = m_exchange;
     if (m_closed)
         return;
-    close();
-    if (exchange)
-        exchange->onFailed(failure, refused);
+    connection_listener* exchange = m_exchange;
+    if (!exchange) {
+        close();
+        return;
+    }
+    abort();
+    exchange->onFailed(failure, refused);
 }
 
 void client_connection::process()
