Never forget which requests a connection has carried

A server may write its refusal once more, late. The request, sent again on the connection that has carried it, is then taken for refused while the server runs it (REFUSED and TWICE). The connection remembered its last 64 requests; refusals take less than a millisecond, so that 64 exchanges pass within one wait for capacity.

The connection now remembers all of them, by hash, and is retired after 512 exchanges.

--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -21,8 +21,8 @@
 // Limits for interim responses and late responses to other requests that precede the expected response.
 constexpr size_t maximumSkippedResponses = 16;
 constexpr size_t maximumSkippedBytes = 1U << 20;
-// Earlier requests that are remembered. A request is sent again within seconds.
-constexpr size_t maximumEarlierEchoValues = 64;
+// A connection remembers every request that it has carried, and is retired after so many.
+constexpr size_t maximumExchanges = 512;
 
 // Idle time-out announced in the Keep-Alive header of the response, if any.
 std::optional<duration> keepAliveTimeout(const http_headers& headers)
@@ -92,17 +92,18 @@
 
 bool client_connection::hasCarried(const std::string& echoValue) const
 {
+    const size_t digest = std::hash<std::string>()(echoValue);
     return !echoValue.empty()
-        && std::find(m_earlierEchoValues.begin(), m_earlierEchoValues.end(), echoValue) != m_earlierEchoValues.end();
+        && std::find(m_carriedDigests.begin(), m_carriedDigests.end(), digest) != m_carriedDigests.end();
 }
 
 bool client_connection::release()
 {
     m_exchange = nullptr;
-    m_earlierEchoValues.push_back(m_echoValue);
-    if (m_earlierEchoValues.size() > maximumEarlierEchoValues)
-        m_earlierEchoValues.erase(m_earlierEchoValues.begin());
-    const bool clean = !m_closed && m_reusable && evbuffer_get_length(bufferevent_get_input(m_bufferEvent)) == 0
+    if (!m_echoValue.empty())
+        m_carriedDigests.push_back(std::hash<std::string>()(m_echoValue));
+    const bool clean = !m_closed && m_reusable && m_carriedDigests.size() < maximumExchanges
+        && evbuffer_get_length(bufferevent_get_input(m_bufferEvent)) == 0
         && evbuffer_get_length(bufferevent_get_output(m_bufferEvent)) == 0;
     if (!clean) {
         close();
--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -32,7 +32,7 @@
     bool hasCarriedExchange() const { return m_hasCarriedExchange; }
     bool closed() const { return m_closed; }
     // Whether an earlier exchange had this value of the echo header: a repeated response to it could not be told from
-    // the next one.
+    // the next one. Rarely true of a value that none had.
     bool hasCarried(const std::string& echoValue) const;
     // Bytes of the current exchange that have been written to the socket.
     size_t bytesSent() const { return m_bytesSent; }
@@ -73,8 +73,8 @@
     std::optional<duration> m_keepAliveTimeout;
     std::string m_echoHeader;
     std::string m_echoValue;
-    // Values of earlier exchanges, latest last.
-    std::vector<std::string> m_earlierEchoValues;
+    // Hashes of the echo values of earlier exchanges.
+    std::vector<size_t> m_carriedDigests;
     size_t m_bytesSent = 0;
     bool m_noBody = false;
     bool m_connectFailed = false;
--- a/libs/http/tests/not_run_test.cpp
+++ b/libs/http/tests/not_run_test.cpp
@@ -128,6 +128,8 @@
 
 class NotRunTest : public testing::Test {
 protected:
+    void SetUp() override { m_pollTimer.startRepeating(std::chrono::milliseconds(1)); }
+
     recorded_exchange& start(
         const endpoint& server, const std::string& id, exchange_options options = {}, size_t bodyBytes = 0)
     {
@@ -167,6 +169,8 @@
     static constexpr exchange_options brief { std::chrono::milliseconds(100), std::chrono::milliseconds(40) };
 
     event_loop m_loop;
+    // The sockets of the tests are not registered with the loop; the timer makes runUntil() look at them.
+    timer m_pollTimer { m_loop, [] {} };
     http_client m_client { m_loop };
     std::list<recorded_exchange> m_exchanges;
 };
@@ -376,19 +380,31 @@
 // request it belongs to is on the connection again.
 TEST_F(NotRunTest, AConnectionRemembersWhatItCarriedHoweverMuchItCarriesSince)
 {
-    const raw_listener server(16);
-    const int kept = keepConnection(server, "mine");
-    for (int i = 0; i < 80; ++i) {
-        const std::string id = "other-" + std::to_string(i);
-        const recorded_exchange& other = start(server, id);
-        m_loop.runUntil([] { return false; }, std::chrono::milliseconds(1));
-        write(kept, response("200 OK", id));
-        ASSERT_TRUE(runToEnd(other));
+    for (const int exchanges : { 10, 80, 600 }) {
+        const raw_listener server(16);
+        const std::string mine = "mine-" + std::to_string(exchanges);
+        const int first = keepConnection(server, mine);
+        int current = first;
+        for (int i = 0; i < exchanges; ++i) {
+            const std::string id = mine + "-" + std::to_string(i);
+            const recorded_exchange& other = start(server, id);
+            bool arrived = false;
+            ASSERT_TRUE(m_loop.runUntil(
+                [&] {
+                    const int next = server.accept();
+                    current = next < 0 ? current : next;
+                    arrived = arrived || !receive(current).bytes.empty();
+                    return arrived;
+                },
+                testTimeout));
+            write(current, response("200 OK", id));
+            ASSERT_TRUE(runToEnd(other));
+        }
+        const recorded_exchange& again = start(server, mine);
+        runFor(shortTime);
+        EXPECT_EQ(receive(first).bytes, "") << exchanges << ": it is on the connection that has carried it";
+        EXPECT_FALSE(again.hasEnded());
     }
-    receive(kept);
-    start(server, "mine");
-    runFor(shortTime);
-    EXPECT_EQ(receive(kept).bytes, "") << "the request is on the connection that has carried it";
 }
 
 // Guards against REFUSED: no connection can be opened at all.
