End an exchange once when its deadline passes behind its failure

The process ended with a segmentation fault: a response over the size limit posts the failure, and the deadline, due in the same turn of a late loop, finished the exchange before it. The posted failure then finished it again, without a connection.

A failure that is on its way now keeps the timer from ending the exchange.

NotRunTest.AnOversizedResponseAndTheDeadlineInOneTurnEndTheExchangeOnce ended by SIGSEGV before and passes now.

--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -163,6 +163,9 @@
 
     void onTimer()
     {
+        // The result is on its way.
+        if (m_finished)
+            return;
         if (m_connection->bytesSent() == 0) {
             finish(exchange_failure::ConnectFailed);
             return;
@@ -188,7 +191,6 @@
             return;
         m_bodyBytes += bytes.size();
         if (m_bodyBytes > m_options.maximumBodyBytes) {
-            m_finished = true;
             finishLater(exchange_failure::ResponseTooLarge);
             return;
         }
@@ -223,11 +225,10 @@
 
     void finishLater(exchange_failure failure)
     {
+        m_finished = true;
         m_pool->loop.post([this, failure, alive = m_alive] {
-            if (!*alive)
-                return;
-            m_finished = false;
-            finish(failure);
+            if (*alive)
+                finish(failure);
         });
     }
 
