Test that a repeated request counts as sent

ARequestThatIsRepeatedWasSentHoweverTheRepeatEnds fails: the request was written to a kept connection, which closed; the new connection for its repeat was refused, and the result says connect_failed and not sent.

--- a/libs/http/tests/not_run_test.cpp
+++ b/libs/http/tests/not_run_test.cpp
@@ -4,6 +4,7 @@
 #include <http/http_client.h>
 #include <list>
 #include <netinet/in.h>
+#include <optional>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <thread>
@@ -340,6 +341,25 @@
     }
 }
 
+// Guards against a write to the store that is taken for undone: a request was written to a kept connection that closed,
+// and the next connection, on which it was to be repeated, could not be opened.
+TEST_F(NotRunTest, ARequestThatIsRepeatedWasSentHoweverTheRepeatEnds)
+{
+    exchange_options options = brief;
+    options.repeatable = true;
+    auto server = std::make_optional<raw_listener>(16);
+    const endpoint address = server->address();
+    const int kept = keepConnection(*server, "first");
+    const recorded_exchange& second = start(address, "second", options);
+    server.reset();
+    runFor(std::chrono::milliseconds(5));
+    EXPECT_NE(receive(kept).bytes.find("second"), std::string::npos);
+    ::close(kept);
+    ASSERT_TRUE(runToEnd(second));
+    EXPECT_FALSE(second.isStatedUnsent()) << toText(second.result().failure);
+    EXPECT_TRUE(second.result().requestSent);
+}
+
 // Guards against TWICE: a request goes on elsewhere while its first server, which has only closed its side or has sent
 // bytes that are no response, takes an orderly close for the end of the request and runs it.
 TEST_F(NotRunTest, AServerSeesAResetHoweverTheExchangeFails)
