Count a request that is repeated on a new connection as sent

The record log took an append for undone, and the engine a request for not run, when a kept connection closed under it and the new connection for the repeat failed: the result described the last connection only.

Whether bytes of a request have ever left, and whether a broken connection is therefore a failed connect, is now concluded in one place, at the end of the exchange. The relay sends no repeatable exchanges and is not concerned.

NotRunTest.ARequestThatIsRepeatedWasSentHoweverTheRepeatEnds failed before and passes now.

--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -210,12 +210,10 @@
         if (m_finished)
             return;
         m_refused = refused;
-        const bool sent = m_connection->bytesSent() > 0;
-        if (failure == exchange_failure::ConnectionLost && !sent)
-            failure = exchange_failure::ConnectFailed;
         const bool retry = failure == exchange_failure::ConnectionLost && m_options.repeatable
-            && m_connection->hasCarriedExchange() && !m_responseStarted;
+            && m_connection->bytesSent() > 0 && m_connection->hasCarriedExchange() && !m_responseStarted;
         if (retry) {
+            m_sentEarlier = true;
             m_connection = m_pool->open(m_server);
             send();
             return;
@@ -232,11 +230,20 @@
         });
     }
 
+    // A connection that breaks has failed to connect, for the request, only if no byte of it was ever written.
+    static exchange_failure asSeenByRequest(exchange_failure failure, bool sent)
+    {
+        if (failure != exchange_failure::ConnectFailed && failure != exchange_failure::ConnectionLost)
+            return failure;
+        return sent ? exchange_failure::ConnectionLost : exchange_failure::ConnectFailed;
+    }
+
     void finish(exchange_failure failure)
     {
         m_finished = true;
         m_deadline.stop();
-        const exchange_result result { failure, m_connection->bytesSent() > 0, m_responseStarted, m_refused,
+        const bool sent = m_sentEarlier || m_connection->bytesSent() > 0;
+        const exchange_result result { asSeenByRequest(failure, sent), sent, m_responseStarted, m_refused,
             m_endedWithConnection };
         const auto connection = std::exchange(m_connection, nullptr);
         if (failure != exchange_failure::None)
@@ -257,6 +264,8 @@
     std::shared_ptr<bool> m_alive;
     std::shared_ptr<client_connection> m_connection;
     size_t m_bodyBytes = 0;
+    // Bytes of the request were written to an earlier connection.
+    bool m_sentEarlier = false;
     bool m_connectTimeoutPassed = false;
     bool m_closeWhenFinished = false;
     bool m_responseStarted = false;
