Conclude in one place that a request has not run

The state "may have run" was set in four places of relay_exchange, so that each new way for an attempt to end had to remember it; what was forgotten would have been a promise to the caller.

execution_evidence turns this round: an attempt counts as one that may run from the moment it is made, and only the HTTP client's word that no byte was written, or the server's refusal, takes that back. Only this type leads to 503 or to another server for a request that may not be repeated.

--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -146,8 +146,6 @@
     m_awaitsFleetState = false;
     m_awaitsPermit = false;
     m_retryAt.reset();
-    if (m_exchange)
-        m_execution = execution_state::MayHaveRun;
     m_exchange.reset();
     releaseServer();
     discardAnswer(stoppingReason);
@@ -157,10 +155,10 @@
         end("stream_broken");
         return;
     }
-    if (m_execution == execution_state::NotRun)
-        refuse(statusUnavailable, stoppingReason, retryAfterStopping);
-    else
+    if (m_evidence.mayHaveRun())
         refuse(statusBadGateway, stoppingReason);
+    else
+        refuse(statusUnavailable, stoppingReason, retryAfterStopping);
 }
 
 void relay_exchange::abandon()
@@ -356,6 +354,7 @@
     m_paceTimer.start(subject(), m_model, hasUnusualLoad);
     m_unreadTokens = choice.unreadTokens;
     ++m_attempts;
+    m_evidence.beginAttempt();
     m_triedServers.push_back(choice.server);
     m_history.addAttempt(m_sentAt - m_start, m_serverId, placement.model, choice.wait);
     servers.addRequest(choice.server);
@@ -415,9 +414,8 @@
     }
     recordRateLimit(now);
     recordStatements(now);
-    const bool notRun = m_answer.notRun || m_answer.misdirected;
+    const bool notRun = isRefusal();
     if (!notRun) {
-        m_execution = execution_state::MayHaveRun;
         ++m_runs;
         m_firstByteTime = now - m_sentAt;
         m_firstByteTimer.stop(now);
@@ -574,8 +572,10 @@
 {
     const auto self = shared_from_this();
     m_exchange.reset();
-    const bool notRun = m_answer.notRun || m_answer.misdirected;
-    if (!notRun) {
+    const bool notRun = isRefusal();
+    if (notRun) {
+        m_evidence.attemptWasRefused();
+    } else {
         m_dependencies.state.servers().reportFailure(*m_server, m_dependencies.time.now());
         countAnswer(false);
     }
@@ -626,7 +626,8 @@
     }
     const server_handle server = *m_server;
     releaseServer();
-    if (m_answer.notRun || m_answer.misdirected) {
+    if (isRefusal()) {
+        m_evidence.attemptWasRefused();
         retryOrFail("not_run", true);
         return;
     }
@@ -649,6 +650,8 @@
     finishAnswer(ended.body);
 }
 
+bool relay_exchange::isRefusal() const { return m_answer.notRun || m_answer.misdirected; }
+
 // Before the first answer there may be no route yet.
 bool relay_exchange::isStreamAnswer() const { return isSuccess(m_status) && m_admission.route->streaming; }
 
@@ -765,8 +768,9 @@
         servers.reportFailure(*m_server, now);
     releaseServer();
     discardAnswer(toText(result.failure));
-    if (result.failure != exchange_failure::ConnectFailed) {
-        m_execution = execution_state::MayHaveRun;
+    if (result.failure == exchange_failure::ConnectFailed) {
+        m_evidence.attemptWasNotSent();
+    } else {
         m_runs += result.responseStarted ? 0 : 1;
         countAnswer(false);
         if (result.refused)
@@ -808,7 +812,6 @@
     m_dependencies.state.servers().reportUnreachable(*m_server, m_dependencies.time.now());
     releaseServer();
     discardAnswer(serverUnreachableReason);
-    m_execution = execution_state::MayHaveRun;
     m_runs += m_status == 0 ? 1 : 0;
     suspectCrash("unreachable");
     // For a stream that has begun, the repeat is taken already.
@@ -819,7 +822,7 @@
 {
     recordAttemptEnd(reason);
     m_lastReason = reason;
-    if (m_execution != execution_state::NotRun && !m_admission.route->mayRepeat())
+    if (m_evidence.mayHaveRun() && !m_admission.route->mayRepeat())
         m_noRetryReason = "may_have_run";
     else if (m_dependencies.crashDetector.mayNotRunAgain(m_admission.fingerprint, m_admission.parts))
         m_noRetryReason = "request_breaks_servers";
@@ -865,7 +868,7 @@
         end("stream_broken");
         return;
     }
-    if (m_execution == execution_state::NotRun) {
+    if (!m_evidence.mayHaveRun()) {
         refuse(statusUnavailable, reason,
             std::max({ retryAfterFull, m_permitDenied ? m_permitWait : duration(0), serverPause() }));
         return;
@@ -886,7 +889,7 @@
 
 void relay_exchange::refuse(int status, const char* type, std::optional<duration> retryAfter)
 {
-    const char* run = m_execution == execution_state::NotRun ? "not_run" : "unknown";
+    const char* run = m_evidence.mayHaveRun() ? "unknown" : "not_run";
     http_headers headers { { "Content-Type", "application/json" } };
     if (retryAfter) {
         // Jitter, so that callers that were refused together do not retry together.
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -9,6 +9,7 @@
 #include <relay/answer_end.h>
 #include <relay/attempt_history.h>
 #include <relay/event_splitter.h>
+#include <relay/execution_evidence.h>
 #include <relay/first_byte_timer.h>
 #include <relay/memory_reservation.h>
 #include <relay/pace_timer.h>
@@ -17,12 +18,6 @@
 
 namespace pollen {
 
-// Whether any server may have run the request.
-enum class execution_state {
-    NotRun,
-    MayHaveRun,
-};
-
 // Relays one request of a caller: admits it, chooses a server, retries on other servers where that is safe and forwards
 // the answer.
 class relay_exchange final : public std::enable_shared_from_this<relay_exchange>, private exchange_listener {
@@ -85,6 +80,8 @@
     // How the answer of the current attempt has ended.
     answer_end answerEnd(const exchange_result& result) const;
     bool isStreamAnswer() const;
+    // The server states in the current answer that it has not run the request.
+    bool isRefusal() const;
     // Drops what has been read of the current answer and was not passed on, as the answer has ended for this reason.
     void discardAnswer(const char* reason);
     // Logs and counts that the current run of a stream is not whole.
@@ -183,7 +180,7 @@
     bool m_countedForRepeats = false;
     // A larger model could not answer, so the smallest model's answer is forwarded whatever its confidence.
     bool m_acceptAnyConfidence = false;
-    execution_state m_execution = execution_state::NotRun;
+    execution_evidence m_evidence;
     http_headers m_headers;
     answer_buffer m_body;
     event_splitter m_events;
