Believe a refusal only if it names the request

A server that writes a refusal without a request id, for example at accept or at the end of an idle time, just when the request is on its way, may read and run the request behind it.

A refusal is evidence only if it echoes the id of the request. Without it, the attempt may have run: what may be repeated goes elsewhere, an order is answered 502. Bare 421 without an id is not passed on either.

--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -342,6 +342,7 @@
     if (service && service->engine)
         m_dependencies.servers.recordSent(m_serverId, placement, service->engine->cacheTokens);
     m_answer = {};
+    m_isRefusal = false;
     m_status = 0;
     m_discard = false;
     m_discardedBytes = 0;
@@ -414,16 +415,18 @@
     }
     recordRateLimit(now);
     recordStatements(now);
-    const bool notRun = isRefusal();
-    if (!notRun) {
+    const bool claimsNotRun = m_answer.notRun || m_answer.misdirected;
+    // Without the id, the answer may have been written before the server read the request.
+    m_isRefusal = claimsNotRun && findHeader(headers, m_dependencies.protocol.requestIdHeader()) == m_traits.id.text();
+    if (!m_isRefusal) {
         ++m_runs;
         m_firstByteTime = now - m_sentAt;
         m_firstByteTimer.stop(now);
     }
     const bool failed = status >= firstServerErrorStatus;
-    m_discard = notRun || m_streamStarted || meansNotRun(status)
+    m_discard = claimsNotRun || m_streamStarted || meansNotRun(status)
         || (failed && m_admission.route->mayRepeat() && hasAttemptsLeft());
-    if (m_streamStarted && isStreamAnswer() && !notRun)
+    if (m_streamStarted && isStreamAnswer() && !claimsNotRun)
         m_discard = false;
     if (!m_discard && isSuccess(status) && !m_answer.isAuthentic) {
         stopAnswer("not_authentic");
@@ -572,7 +575,7 @@
 {
     const auto self = shared_from_this();
     m_exchange.reset();
-    const bool notRun = isRefusal();
+    const bool notRun = m_isRefusal;
     if (notRun) {
         m_evidence.attemptWasRefused();
     } else {
@@ -626,7 +629,7 @@
     }
     const server_handle server = *m_server;
     releaseServer();
-    if (isRefusal()) {
+    if (m_isRefusal) {
         m_evidence.attemptWasRefused();
         retryOrFail("not_run", true);
         return;
@@ -650,8 +653,6 @@
     finishAnswer(ended.body);
 }
 
-bool relay_exchange::isRefusal() const { return m_answer.notRun || m_answer.misdirected; }
-
 // Before the first answer there may be no route yet.
 bool relay_exchange::isStreamAnswer() const { return isSuccess(m_status) && m_admission.route->streaming; }
 
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -80,8 +80,6 @@
     // How the answer of the current attempt has ended.
     answer_end answerEnd(const exchange_result& result) const;
     bool isStreamAnswer() const;
-    // The server states in the current answer that it has not run the request.
-    bool isRefusal() const;
     // Drops what has been read of the current answer and was not passed on, as the answer has ended for this reason.
     void discardAnswer(const char* reason);
     // Logs and counts that the current run of a stream is not whole.
@@ -153,6 +151,8 @@
     // The attempt belongs to the load that a trial puts on a few engines.
     bool m_underTrialLoad = false;
     answer_traits m_answer;
+    // The answer names this request and states that the server has not run it.
+    bool m_isRefusal = false;
     int m_status = 0;
     // The answer of this attempt is not forwarded.
     bool m_discard = false;
