Test kept connections that end, planned stops and the server's refusals

These rows of the table of what "not run" rests on hold: orders that go into a kept connection whose server closes, writes 408 or refusals of its end (10 cases), orders in flight, half refused or waiting when the daemon stops (4), refusals of the caller-facing server behind a handled request (4), and connections that wait to be accepted when it stops.

--- a/libs/http/tests/not_run_test.cpp
+++ b/libs/http/tests/not_run_test.cpp
@@ -2,6 +2,7 @@
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <http/http_client.h>
+#include <http/http_server.h>
 #include <list>
 #include <netinet/in.h>
 #include <optional>
@@ -87,6 +88,18 @@
     ::close(socket);
 }
 
+// Connects a raw socket to a server.
+int connectTo(const endpoint& server)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(server.port);
+    inet_pton(AF_INET, server.address.c_str(), &address.sin_addr);
+    EXPECT_EQ(::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+    return socket;
+}
+
 std::string response(const std::string& status, const std::string& id, const std::string& body = "")
 {
     const std::string echo = id.empty() ? "" : std::string(idHeader) + ": " + id + "\r\n";
@@ -469,4 +482,44 @@
     }
 }
 
+// Guards against REFUSED: a refusal of the server's own was told of a request that its handler has.
+TEST_F(NotRunTest, ARefusalOfTheServerFollowsTheRequestsThatWereHandled)
+{
+    const std::string whole = "POST /whole HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok";
+    const std::vector<std::string> refused { "not http\r\n\r\n", "GET /two HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+        "POST /two HTTP/1.1\r\nHost: a\r\nContent-Length: 999999999\r\n\r\n",
+        "POST /two HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\n" };
+    for (const std::string& next : refused) {
+        std::vector<std::shared_ptr<server_request>> handled;
+        http_server server(m_loop, { "127.0.0.1", 0 }, {},
+            [&](const std::shared_ptr<server_request>& request) { handled.push_back(request); });
+        const int caller = connectTo(server.address());
+        write(caller, whole + next);
+        ASSERT_TRUE(m_loop.runUntil([&] { return !handled.empty(); }, testTimeout));
+        runFor(shortTime);
+        EXPECT_EQ(receive(caller).bytes, "") << "the response to a request comes behind that of the one before";
+        handled.front()->reply(200, {}, "");
+        runFor(shortTime);
+        const std::string told = receive(caller).bytes;
+        EXPECT_EQ(told.find("HTTP/1.1 200"), 0U) << told;
+        EXPECT_NE(told.find("HTTP/1.1 4"), std::string::npos) << told;
+        EXPECT_EQ(handled.size(), 1U) << next;
+        ::close(caller);
+    }
+}
+
+// Guards against REFUSED: callers take a reset without a response for a request that the daemon has not read.
+TEST_F(NotRunTest, AServerThatStopsAcceptingResetsWhatItHasNotRead)
+{
+    size_t handled = 0;
+    http_server server(m_loop, { "127.0.0.1", 0 }, {}, [&](const std::shared_ptr<server_request>&) { ++handled; });
+    const int caller = connectTo(server.address());
+    write(caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    server.stopAccepting();
+    runFor(shortTime);
+    EXPECT_EQ(receive(caller).end, input_end::Reset);
+    EXPECT_EQ(handled, 0U);
+    ::close(caller);
+}
+
 } // namespace pollen
--- a/standins/tests/not_run_test.cpp
+++ b/standins/tests/not_run_test.cpp
@@ -21,7 +21,7 @@
         std::vector<std::string> answers;
         // The server runs the requests whatever it writes.
         bool runs = true;
-        // Closes its side behind an answer.
+        // Closes its side behind the last of the answers above.
         bool closes = false;
     };
 
@@ -47,6 +47,7 @@
     const endpoint& address() const { return m_address; }
     int runs(const std::string& id) const { return m_runs.contains(id) ? m_runs.at(id) : 0; }
     size_t requests() const { return m_requests; }
+    size_t connections() const { return m_open.size(); }
 
     // Accepts, reads and answers what the kernel has, without blocking.
     void poll()
@@ -90,11 +91,12 @@
             ++m_runs[id];
         if (m_script.answers.empty())
             return;
-        std::string answer = m_script.answers[std::min(open.answered++, m_script.answers.size() - 1)];
+        const size_t turn = std::min(open.answered++, m_script.answers.size() - 1);
+        std::string answer = m_script.answers[turn];
         for (size_t at = answer.find("{id}"); at != std::string::npos; at = answer.find("{id}"))
             answer.replace(at, 4, id);
         write(open.socket, answer);
-        if (m_script.closes)
+        if (m_script.closes && turn + 1 == m_script.answers.size())
             ::shutdown(open.socket, SHUT_WR);
     }
 
@@ -211,4 +213,71 @@
     }
 }
 
+// Guards against REFUSED: a server that closes a kept connection, or writes of its end, reads the order behind that.
+TEST_F(NotRunRelayTest, AnOrderIntoAKeptConnectionThatEndsMayHaveRun)
+{
+    struct end_case {
+        const char* what;
+        std::string bytes;
+        bool closes;
+        bool runs;
+        int status;
+    };
+    const std::string refusal = full + statement + idLine + noBody;
+    const std::string timeout = "HTTP/1.1 408 Request Timeout\r\n";
+    const std::vector<end_case> cases {
+        { "closed", "", true, true, 502 },
+        { "408", timeout + noBody, true, true, 502 },
+        { "408 with the statement", timeout + statement + noBody, true, true, 502 },
+        { "408 that names the order", timeout + idLine + noBody, true, true, 502 },
+        { "unnamed refusal", full + statement + noBody, false, true, 502 },
+        { "unnamed 421", misdirected + noBody, false, true, 502 },
+        { "refusal of another order", full + statement + "Pollenroute-Request-Id: first\r\n" + noBody, false, true,
+            504 },
+        { "half of a refusal", full + statement, true, true, 502 },
+        { "a refusal, and an answer on the next connection", refusal, false, false, 200 },
+        { "a refusal and the close, and an answer on the next", refusal, true, false, 200 },
+    };
+    for (const end_case& item : cases) {
+        counting_server server({ "", { done, item.bytes }, item.runs, item.closes });
+        startDaemon(server);
+        EXPECT_EQ(send(server, "first").status, 200) << item.what;
+        EXPECT_EQ(server.connections(), 1U) << item.what;
+        const told_answer told = send(server, "second");
+        EXPECT_EQ(told.status, item.status) << item.what << ' ' << told.body;
+        EXPECT_LE(server.runs("second"), 1) << item.what;
+        EXPECT_FALSE(told.status == 503 && server.runs("second") > 0) << item.what;
+        m_daemon.reset();
+    }
+}
+
+// Guards against REFUSED: what a daemon that stops says of orders that are in flight, refused or still unsent.
+TEST_F(NotRunRelayTest, ADaemonThatStopsPromisesOnlyWhatNoServerHas)
+{
+    struct stop_case {
+        const char* what;
+        std::vector<std::string> answers;
+        bool runs;
+        int status;
+    };
+    const std::string refusal = full + statement + idLine + noBody;
+    const std::vector<stop_case> cases {
+        { "in flight", {}, true, 502 },
+        { "half of a refusal", { full + statement + idLine }, true, 502 },
+        { "a refusal without its body", { full + statement + idLine + "Content-Length: 9\r\n\r\nhalf" }, true, 502 },
+        { "waits for capacity after refusals", { refusal }, false, 503 },
+    };
+    for (const stop_case& item : cases) {
+        counting_server server({ "", item.answers, item.runs });
+        startDaemon(server);
+        timer stop(m_loop, [&] { m_daemon->relay().gateway().endOpenRequests(); });
+        stop.startOnce(std::chrono::milliseconds(150));
+        const told_answer told = send(server, "order");
+        EXPECT_EQ(told.status, item.status) << item.what << ' ' << told.body;
+        EXPECT_FALSE(told.status == 503 && server.runs("order") > 0) << item.what;
+        EXPECT_GT(server.requests(), 0U) << item.what;
+        m_daemon.reset();
+    }
+}
+
 } // namespace pollen
