--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -146,8 +146,6 @@
     m_awaitsFleetState = false;
     m_awaitsPermit = false;
     m_retryAt.reset();
-    if (m_exchange)
-        m_execution = execution_state::MayHaveRun;
     m_exchange.reset();
     releaseServer();
     discardAnswer(stoppingReason);
@@ -157,10 +155,10 @@
         end("stream_broken");
         return;
     }
-    if (m_execution == execution_state::NotRun)
-        refuse(statusUnavailable, stoppingReason, retryAfterStopping);
-    else
+    if (m_evidence.mayHaveRun())
         refuse(statusBadGateway, stoppingReason);
+    else
+        refuse(statusUnavailable, stoppingReason, retryAfterStopping);
 }
 
 void relay_exchange::abandon()
@@ -344,6 +342,7 @@
     if (service && service->engine)
         m_dependencies.servers.recordSent(m_serverId, placement, service->engine->cacheTokens);
     m_answer = {};
+    m_isRefusal = false;
     m_status = 0;
     m_discard = false;
     m_discardedBytes = 0;
@@ -356,6 +355,7 @@
     m_paceTimer.start(subject(), m_model, hasUnusualLoad);
     m_unreadTokens = choice.unreadTokens;
     ++m_attempts;
+    m_evidence.beginAttempt();
     m_triedServers.push_back(choice.server);
     m_history.addAttempt(m_sentAt - m_start, m_serverId, placement.model, choice.wait);
     servers.addRequest(choice.server);
@@ -415,17 +415,18 @@
     }
     recordRateLimit(now);
     recordStatements(now);
-    const bool notRun = m_answer.notRun || m_answer.misdirected;
-    if (!notRun) {
-        m_execution = execution_state::MayHaveRun;
+    const bool claimsNotRun = m_answer.notRun || m_answer.misdirected;
+    // Without the id, the answer may have been written before the server read the request.
+    m_isRefusal = claimsNotRun && findHeader(headers, m_dependencies.protocol.requestIdHeader()) == m_traits.id.text();
+    if (!m_isRefusal) {
         ++m_runs;
         m_firstByteTime = now - m_sentAt;
         m_firstByteTimer.stop(now);
     }
     const bool failed = status >= firstServerErrorStatus;
-    m_discard = notRun || m_streamStarted || meansNotRun(status)
+    m_discard = claimsNotRun || m_streamStarted || meansNotRun(status)
         || (failed && m_admission.route->mayRepeat() && hasAttemptsLeft());
-    if (m_streamStarted && isStreamAnswer() && !notRun)
+    if (m_streamStarted && isStreamAnswer() && !claimsNotRun)
         m_discard = false;
     if (!m_discard && isSuccess(status) && !m_answer.isAuthentic) {
         stopAnswer("not_authentic");
@@ -574,8 +575,10 @@
 {
     const auto self = shared_from_this();
     m_exchange.reset();
-    const bool notRun = m_answer.notRun || m_answer.misdirected;
-    if (!notRun) {
+    const bool notRun = m_isRefusal;
+    if (notRun) {
+        m_evidence.attemptWasRefused();
+    } else {
         m_dependencies.state.servers().reportFailure(*m_server, m_dependencies.time.now());
         countAnswer(false);
     }
@@ -626,7 +629,8 @@
     }
     const server_handle server = *m_server;
     releaseServer();
-    if (m_answer.notRun || m_answer.misdirected) {
+    if (m_isRefusal) {
+        m_evidence.attemptWasRefused();
         retryOrFail("not_run", true);
         return;
     }
@@ -765,8 +769,9 @@
         servers.reportFailure(*m_server, now);
     releaseServer();
     discardAnswer(toText(result.failure));
-    if (result.failure != exchange_failure::ConnectFailed) {
-        m_execution = execution_state::MayHaveRun;
+    if (result.failure == exchange_failure::ConnectFailed) {
+        m_evidence.attemptWasNotSent();
+    } else {
         m_runs += result.responseStarted ? 0 : 1;
         countAnswer(false);
         if (result.refused)
@@ -808,7 +813,6 @@
     m_dependencies.state.servers().reportUnreachable(*m_server, m_dependencies.time.now());
     releaseServer();
     discardAnswer(serverUnreachableReason);
-    m_execution = execution_state::MayHaveRun;
     m_runs += m_status == 0 ? 1 : 0;
     suspectCrash("unreachable");
     // For a stream that has begun, the repeat is taken already.
@@ -819,7 +823,7 @@
 {
     recordAttemptEnd(reason);
     m_lastReason = reason;
-    if (m_execution != execution_state::NotRun && !m_admission.route->mayRepeat())
+    if (m_evidence.mayHaveRun() && !m_admission.route->mayRepeat())
         m_noRetryReason = "may_have_run";
     else if (m_dependencies.crashDetector.mayNotRunAgain(m_admission.fingerprint, m_admission.parts))
         m_noRetryReason = "request_breaks_servers";
@@ -865,7 +869,7 @@
         end("stream_broken");
         return;
     }
-    if (m_execution == execution_state::NotRun) {
+    if (!m_evidence.mayHaveRun()) {
         refuse(statusUnavailable, reason,
             std::max({ retryAfterFull, m_permitDenied ? m_permitWait : duration(0), serverPause() }));
         return;
@@ -886,7 +890,7 @@
 
 void relay_exchange::refuse(int status, const char* type, std::optional<duration> retryAfter)
 {
-    const char* run = m_execution == execution_state::NotRun ? "not_run" : "unknown";
+    const char* run = m_evidence.mayHaveRun() ? "unknown" : "not_run";
     http_headers headers { { "Content-Type", "application/json" } };
     if (retryAfter) {
         // Jitter, so that callers that were refused together do not retry together.
