Log and count the age of the configuration behind a denial

No line of a 404 said how old the configuration was that it rests on, so a daemon that was late could not be told from one that held a wrong configuration believed new.

request_ended has configuration_age_ms. The histogram pollen_relay_denial_configuration_age_seconds counts denials by reason and age. A configuration's event names the daemon that it came from, and configuration_confirmed says how old it was when first confirmed. No logic changes.

--- a/apps/pollenrouted/platform_daemon.cpp
+++ b/apps/pollenrouted/platform_daemon.cpp
@@ -105,7 +105,7 @@
     const bool ready = p.relay.gateway().ready();
     if (ready != std::exchange(p.ready, ready)) {
         p.log.write(log_level::Info, ready ? "ready" : "not_ready",
-            { { "configuration_age_ms", toMilliseconds(now - p.relay.state().configurationConfirmedAt()) },
+            { { "configuration_age_ms", toMilliseconds(p.relay.state().configurationAge(now)) },
                 { "stopping", p.shutdownStart.has_value() } });
     }
     if (p.shutdownStart)
--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -100,7 +100,7 @@
 
 std::string platform_relay::renderMetrics()
 {
-    m_metrics.setGauges(m_time.now() - m_state.configurationConfirmedAt(), m_gateway.openRequests(),
+    m_metrics.setGauges(m_state.configurationAge(m_time.now()), m_gateway.openRequests(),
         m_crashes.countQuarantined(m_time.wallMilliseconds()));
     return m_metrics.render();
 }
@@ -110,9 +110,22 @@
     const uint64_t version = configuration.version;
     const size_t routes = configuration.routes.size();
     const bool installed = m_state.install(std::move(configuration));
+    m_isConfigurationNew = m_isConfigurationNew || installed;
     m_log.write(log_level::Info, "configuration",
         { { "version", version }, { "routes", static_cast<int64_t>(routes) },
-            { "outcome", installed ? "in_force" : "older_than_in_force" } });
+            { "outcome", installed ? "in_force" : "older_than_in_force" },
+            { "upstream", m_sharing.upstream().text() } });
+}
+
+void platform_relay::onConfigurationKnown(time_point asOf)
+{
+    m_state.setConfigurationConfirmed(asOf);
+    if (!std::exchange(m_isConfigurationNew, false))
+        return;
+    m_log.write(log_level::Info, "configuration_confirmed",
+        { { "version", m_state.configuration()->configuration().version },
+            { "age_ms", toMilliseconds(m_state.configurationAge(m_time.now())) },
+            { "upstream", m_sharing.upstream().text() } });
 }
 
 void platform_relay::onServers(const std::vector<listed_server>& list)
--- a/apps/pollenrouted/platform_relay.h
+++ b/apps/pollenrouted/platform_relay.h
@@ -27,7 +27,7 @@
 
 private:
     void onConfiguration(relay_configuration configuration) override;
-    void onConfigurationKnown(time_point asOf) override { m_state.setConfigurationConfirmed(asOf); }
+    void onConfigurationKnown(time_point asOf) override;
     void onServers(const std::vector<listed_server>& list) override;
     void onRolloutOrder(const rollout_order& order) override { m_rollouts.applyOrder(order, m_time.now()); }
     void onRolloutStatus(const rollout_status& status) override { m_rollouts.applyStatus(status); }
@@ -70,6 +70,8 @@
     relay_dependencies m_shared;
     relay_gateway m_gateway;
     time_point m_nextSweep {};
+    // The configuration in force has not been confirmed yet.
+    bool m_isConfigurationNew = false;
 };
 
 } // namespace pollen
--- a/libs/relay/include/relay/relay_metrics.h
+++ b/libs/relay/include/relay/relay_metrics.h
@@ -34,6 +34,9 @@
     void countServerStatement(const std::string& service, const std::string& statement);
     // A server's run of a stream has ended and is not whole, for this reason.
     void countBrokenStream(const std::string& service, const std::string& reason);
+    // A request denied on the strength of the configuration. reason: as in countOutcome(). configurationAge: as in
+    // setGauges().
+    void observeDenial(const std::string& reason, duration configurationAge);
     void observeFirstByte(const std::string& route, const std::string& team, duration latency);
     // Updates the gauges before they are rendered. configurationAge: time since the configuration was last confirmed to
     // be the newest. quarantined: requests that are no longer sent to any server because servers crashed running them.
@@ -54,6 +57,7 @@
     prometheus::Family<prometheus::Counter>& m_brokenStreams;
     prometheus::Family<prometheus::Histogram>& m_latency;
     prometheus::Family<prometheus::Histogram>& m_teamLatency;
+    prometheus::Family<prometheus::Histogram>& m_denialAge;
     prometheus::Gauge& m_configurationAge;
     prometheus::Gauge& m_openRequests;
     prometheus::Gauge& m_quarantined;
--- a/libs/relay/include/relay/relay_state.h
+++ b/libs/relay/include/relay/relay_state.h
@@ -30,6 +30,8 @@
     // Null until the first configuration is installed.
     const std::shared_ptr<const indexed_configuration>& configuration() const { return m_configuration; }
     time_point configurationConfirmedAt() const { return m_configurationConfirmedAt; }
+    // Time since the configuration was last confirmed to be the newest.
+    duration configurationAge(time_point now) const { return now - m_configurationConfirmedAt; }
 
     // The configuration is so old that keys may have been revoked without this daemon's knowledge.
     bool keysOutdated(time_point now) const
--- a/libs/relay/src/admission.cpp
+++ b/libs/relay/src/admission.cpp
@@ -36,6 +36,8 @@
     return parts;
 }
 
+refusal denial(int status, const char* type) { return { status, type, std::nullopt, false, true }; }
+
 std::optional<refusal> findTeam(
     admission& found, const relay_state& state, const request_traits& traits, time_point now)
 {
@@ -45,7 +47,7 @@
         return refusal { statusUnavailable, "keys_outdated", retryAfterOutdated };
     found.team = found.configuration->findTeam(traits.key);
     if (!found.team)
-        return refusal { statusUnauthorized, "unknown_key", std::nullopt };
+        return denial(statusUnauthorized, "unknown_key");
     return std::nullopt;
 }
 
@@ -63,7 +65,7 @@
     const std::string host(findHeader(request.headers, "Host"));
     found.route = found.configuration->findRoute(host, targetPath(request.target));
     if (!found.route) {
-        found.refused = refusal { statusNotFound, "unknown_route", std::nullopt };
+        found.refused = denial(statusNotFound, "unknown_route");
         return found;
     }
     if (traits.id.empty()) {
--- a/libs/relay/src/admission.h
+++ b/libs/relay/src/admission.h
@@ -14,6 +14,8 @@
     std::optional<duration> retryAfter;
     // The daemon has just started and has not received the fleet state yet.
     bool fleetStateMissing = false;
+    // The configuration does not allow the request; a newer one may.
+    bool deniedByConfiguration = false;
 };
 
 // Result of admitting a request. If it is refused, the fields that were not determined keep their defaults.
--- a/libs/relay/src/crash_detector.cpp
+++ b/libs/relay/src/crash_detector.cpp
@@ -73,7 +73,7 @@
 
 void crash_detector::tick(time_point now)
 {
-    if (now - m_state.configurationConfirmedAt() > maximumStateAge)
+    if (m_state.configurationAge(now) > maximumStateAge)
         m_stateOutdatedAt = now;
     for (open_suspicion& suspicion : m_suspicions)
         advance(suspicion, now);
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -101,6 +101,9 @@
     if (m_awaitsFleetState)
         return;
     if (m_admission.refused) {
+        if (m_admission.refused->deniedByConfiguration)
+            m_dependencies.metrics.observeDenial(
+                m_admission.refused->type, m_dependencies.state.configurationAge(m_start));
         refuse(m_admission.refused->status, m_admission.refused->type, m_admission.refused->retryAfter);
         return;
     }
@@ -948,8 +951,8 @@
                 { "obstacle", m_noRetryReason }, { "fingerprint", fingerprintText(m_admission.fingerprint) },
                 { "team", teamName() }, { "session", m_traits.session },
                 { "parts", static_cast<int64_t>(m_traits.parts.size()) }, { "ms", toMilliseconds(now - m_start) },
-                { "configuration",
-                    m_admission.configuration ? m_admission.configuration->configuration().version : 0 } });
+                { "configuration", m_admission.configuration ? m_admission.configuration->configuration().version : 0 },
+                { "configuration_age_ms", toMilliseconds(m_dependencies.state.configurationAge(now)) } });
     }
     const auto onEnd = std::exchange(m_onEnd, nullptr);
     onEnd();
--- a/libs/relay/src/relay_metrics.cpp
+++ b/libs/relay/src/relay_metrics.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 const prometheus::Histogram::BucketBoundaries latencySeconds { 0.01, 0.05, 0.1, 0.3, 1, 2, 3, 6, 12 };
+const prometheus::Histogram::BucketBoundaries ageSeconds { 0.5, 1, 1.5, 2, 3, 4, 6, 10, 30 };
 
 } // namespace
 
@@ -51,6 +52,10 @@
                         .Name("pollen_relay_team_first_byte_seconds")
                         .Help("Time to the first byte of an answer, by team")
                         .Register(m_registry))
+    , m_denialAge(prometheus::BuildHistogram()
+                      .Name("pollen_relay_denial_configuration_age_seconds")
+                      .Help("Age of the configuration by which requests were denied, by reason")
+                      .Register(m_registry))
     , m_configurationAge(prometheus::BuildGauge()
                              .Name("pollen_relay_configuration_age_seconds")
                              .Help("Time since the configuration was last known to be the newest")
@@ -114,6 +119,11 @@
     m_brokenStreams.Add({ { "service", service }, { "reason", reason } }).Increment();
 }
 
+void relay_metrics::observeDenial(const std::string& reason, duration configurationAge)
+{
+    m_denialAge.Add({ { "reason", reason } }, ageSeconds).Observe(toSeconds(configurationAge));
+}
+
 void relay_metrics::observeFirstByte(const std::string& route, const std::string& team, duration latency)
 {
     m_teamLatency.Add({ { "team", team } }, latencySeconds).Observe(toSeconds(latency));
