--- a/libs/relay/tests/configuration_delay_test.cpp
+++ b/libs/relay/tests/configuration_delay_test.cpp
@@ -81,12 +81,23 @@
         while (m_time.now() < end) {
             m_time.advance(step);
             m_network.deliver(m_time.now());
-            for (member& item : m_members)
+            for (member& item : m_members) {
                 advance(item);
+                checkStatement(item);
+            }
         }
     }
 
-    void write() { ++m_records; }
+    // bytes: size of the record.
+    void write(size_t bytes = 1)
+    {
+        m_writtenAt.push_back(m_time.now());
+        m_sizes.push_back(bytes);
+        ++m_records;
+    }
+
+    // Longest time for which a daemon has stated to know the newest record while it lacked one.
+    duration longestFalseStatement() const { return m_longestFalseStatement; }
 
     // Time until all daemons that the failure has left in order know the last record; no more than the maximum.
     duration timeUntilKnown(duration maximum)
@@ -184,6 +195,14 @@
         return found;
     }
 
+    void checkStatement(const member& item)
+    {
+        const shared_topic& topic = item.daemon->store.topic;
+        const uint64_t known = topic.position().offset;
+        if (topic.isSynced() && known < m_records)
+            m_longestFalseStatement = std::max(m_longestFalseStatement, topic.asOf() - m_writtenAt[known]);
+    }
+
     void advance(member& item)
     {
         if (item.frozen)
@@ -214,7 +233,7 @@
         if (!hasNews && now - *item.readSince < m_wait)
             return;
         for (uint64_t i = 0; i < m_records; ++i)
-            store.topic.apply({ "config", std::to_string(i), { 1, i } });
+            store.topic.apply({ "config-" + std::to_string(i), std::string(m_sizes[i], 'x'), { 1, i } });
         store.topic.markSynced({ 1, m_records }, now);
         item.readSince = now;
     }
@@ -224,6 +243,10 @@
     fake_network m_network;
     std::vector<member> m_members;
     uint64_t m_records = 1;
+    // When the records were written, and their sizes.
+    std::vector<time_point> m_writtenAt { time_point {} };
+    std::vector<size_t> m_sizes { 1 };
+    duration m_longestFalseStatement { duration::min() };
 };
 
 const std::vector<fleet_size> sizes {
@@ -290,6 +313,27 @@
     EXPECT_LE(toMilliseconds(longest), toMilliseconds(size.configurationLimit / 2));
 }
 
+// Guards against DENIED: a daemon that states to know the newest configuration, and lacks one that was confirmed before
+// the time for which it states that. Records of all sizes, sent whole, in parts or not at all.
+TEST_P(ConfigurationDelayTest, AStatementOfAgeCoversAllRecordsBeforeIt)
+{
+    const fleet_size& size = sizes[std::get<0>(GetParam())];
+    simulated_fleet fleet(size);
+    fleet.setLinks(size.linkBytesPerSecond);
+    fleet.run(std::chrono::seconds(3));
+    for (const size_t bytes : { 100U, 6000U, 6000U, 6000U, 40000U, 100U }) {
+        fleet.write(bytes);
+        fleet.run(std::chrono::milliseconds(100));
+    }
+    fleet.fail(failures[std::get<1>(GetParam())].first);
+    for (const size_t bytes : { 100U, 6000U, 6000U, 40000U, 6000U, 100U }) {
+        fleet.write(bytes);
+        fleet.run(std::chrono::milliseconds(350));
+    }
+    fleet.run(std::chrono::seconds(2));
+    EXPECT_LE(toMilliseconds(fleet.longestFalseStatement()), 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(Fleets, SlowLinkTest, testing::Range<size_t>(0, sizes.size()),
     [](const auto& info) { return std::string(sizes[info.param].name); });
 
