Soak a site of real processes under load

What was missing: the soak of processes has four daemons, servers that are never full, no releases and no changes of routes, and showed none of what users saw between real processes.

Daemons have the platform's limits, and are stopped, killed, suspended and replaced.

--- a/standins/tests/daemon_process.h
+++ b/standins/tests/daemon_process.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <vector>
 
 namespace pollen {
 
@@ -20,6 +21,13 @@
     return "127." + std::to_string(1 + ::getpid() % 250) + ".0." + std::to_string(host);
 }
 
+// The program that tests run as a daemon; a run by hand may name that of another version.
+inline std::string daemonProgram()
+{
+    const char* program = std::getenv("POLLEN_DAEMON");
+    return program ? program : POLLENROUTED;
+}
+
 // A pollenrouted as a process of its own, with the platform's settings.
 class daemon_process {
 public:
@@ -36,10 +44,12 @@
     }
     ~daemon_process()
     {
-        if (!isRunning())
-            return;
-        ::kill(m_process, SIGKILL);
-        ::waitpid(m_process, nullptr, 0);
+        if (isRunning())
+            m_former.push_back(m_process);
+        for (const pid_t process : m_former) {
+            ::kill(process, SIGKILL);
+            ::waitpid(process, nullptr, 0);
+        }
     }
     daemon_process(const daemon_process&) = delete;
     daemon_process& operator=(const daemon_process&) = delete;
@@ -52,7 +62,9 @@
              << m_address << ":" << readinessPort << "\"\n[bounds]\nconfig-apply-ms = 2000\ndrain-ms = 2000\n"
              << "grace-s = 4\nstrict-revoke = true\nrevoke-ms = 5000\nretry-ratio = 0.9\nretry-slack = 58\n"
              << "retry-window-s = 10\nexposure-share = 0.15\nexposure-slack = 30\nsession-s = 5\n[platform]\n"
-             << "address = \"" << store.text() << "\"\n";
+             << "address = \"" << store.text()
+             << "\"\n[limits]\ncpu-share = 0.25\ncores = 1\nmemory-mb = 260\nmax-fds = 4100\n"
+             << "link-mbps = 1000.0\ndisk-mb = 0\n";
         return text.str();
     }
     const std::string& settingsFile() const { return m_settingsFile; }
@@ -61,20 +73,32 @@
     {
         m_logSize = logSize();
         const std::string variable = "POLLENROUTE_CONFIG=" + m_settingsFile;
-        const std::string program = POLLENROUTED;
+        const std::string program = daemonProgram();
         char* arguments[] = { const_cast<char*>(program.c_str()), nullptr };
         char* environment[] = { const_cast<char*>(variable.c_str()), nullptr };
         posix_spawn_file_actions_t actions;
         posix_spawn_file_actions_init(&actions);
         posix_spawn_file_actions_addopen(
             &actions, STDOUT_FILENO, m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
         ASSERT_EQ(posix_spawn(&m_process, program.c_str(), &actions, nullptr, arguments, environment), 0);
         posix_spawn_file_actions_destroy(&actions);
     }
 
+    // Starts the next process while the one before still ends.
+    void startOverlapping()
+    {
+        if (!isRunning())
+            return;
+        ::kill(m_process, SIGTERM);
+        m_former.push_back(m_process);
+        start();
+    }
+
     // Reaps the process once it has ended.
     bool isRunning()
     {
+        std::erase_if(m_former, [](pid_t process) { return ::waitpid(process, nullptr, WNOHANG) == process; });
         int status = 0;
         if (m_process > 0 && ::waitpid(m_process, &status, WNOHANG) == m_process) {
             m_endedBySignal = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
@@ -95,6 +119,7 @@
     const std::string& id() const { return m_id; }
     // Signal that ended the last process; 0 if it exited by itself.
     int endedBySignal() const { return m_endedBySignal; }
+    const std::string& logFile() const { return m_logFile; }
     endpoint callers() const { return { m_address, callerPort }; }
     endpoint readiness() const { return { m_address, readinessPort }; }
 
@@ -117,6 +142,8 @@
     std::string m_logFile;
     std::uintmax_t m_logSize = 0;
     pid_t m_process = 0;
+    // Processes that were told to stop and have a successor already.
+    std::vector<pid_t> m_former;
     int m_endedBySignal = 0;
 };
 
