Deny only by a configuration that was confirmed lately

Callers do not repeat a denial.

Cause: a denial is a statement about the newest configuration, and was made from whatever configuration was held. Only the acceptance of keys looked at its age, by the limit on revoked keys.

relay_state has a second lifetime, 0.8 of the configuration limit, within which routes and keys that are unknown are denied. A daemon that knew the newest configuration at T holds all that was confirmed before T, so no denial until T plus the limit contradicts one that must be in force. After that, such requests are refused with 503 and a Retry-After; what the configuration allows is served as before. A request waits for a newer confirmation where one may be on its way: 300 ms from the first request that needs it, then requests are refused at once. keys_outdated waits in the same way.

--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -7,6 +7,9 @@
 constexpr duration sweepInterval = std::chrono::seconds(1);
 // Keys are refused this long before the limit, so that a request on its way to a server does not pass it.
 constexpr duration revocationMargin = std::chrono::milliseconds(400);
+// Share of the configuration limit after which a configuration that was not confirmed again denies nothing. The rest is
+// left to requests on their way.
+constexpr double denialShareOfConfigurationLimit = 0.8;
 // Time that a read of the store may take beyond its wait before its view counts as lost: less for other daemons, which
 // can read it themselves.
 constexpr duration peerAgeMargin = std::chrono::milliseconds(500);
@@ -29,11 +32,14 @@
 constexpr double logLinesPerSecond = 10;
 constexpr double failureLogLinesPerSecond = 50;
 
-std::optional<duration> keyLifetime(const node_settings& settings)
+relay_state::lifetimes configurationLifetimes(const node_settings& settings)
 {
-    if (!settings.revocationLimit)
-        return std::nullopt;
-    return *settings.revocationLimit - revocationMargin;
+    relay_state::lifetimes lifetimes;
+    if (settings.revocationLimit)
+        lifetimes.keys = *settings.revocationLimit - revocationMargin;
+    lifetimes.denials
+        = std::chrono::duration_cast<duration>(settings.configurationLimit * denialShareOfConfigurationLimit);
+    return lifetimes;
 }
 
 fleet_sync::limits syncLimits(const node_settings& settings)
@@ -53,7 +59,7 @@
     , m_probe(loop)
     , m_store(
           loop, m_client, settings, { settings.id, settings.failureDomain, settings.peers }, *this, m_random, time, log)
-    , m_state(keyLifetime(settings))
+    , m_state(configurationLifetimes(settings))
     , m_rolloutSystem(m_rollouts, m_store, settings.id, static_cast<uint64_t>(time.wallMilliseconds()),
           exposure_limit { settings.exposureShare, settings.exposureSlack }, log)
     , m_crashes(settings.id)
--- a/libs/ctl/src/fleet_log.cpp
+++ b/libs/ctl/src/fleet_log.cpp
@@ -44,6 +44,8 @@
         { "caller_gone", "the caller closed its connection before the answer was complete" },
         { "unknown_route", "no route of the configuration in force matches host and path" },
         { "unknown_key", "the key is not in the configuration in force" },
+        { "configuration_outdated",
+            "the configuration was too old to deny the request: the daemon had lost the store and its peers" },
         { "keys_outdated", "the configuration was too old to trust keys: the daemon had lost the store and its peers" },
         { "no_configuration", "the daemon knew no configuration or no servers yet" },
         { "no_request_id", "the request carried no id" },
--- a/libs/relay/include/relay/relay_state.h
+++ b/libs/relay/include/relay/relay_state.h
@@ -10,9 +10,16 @@
 // This daemon's copy of the configuration and the server list, and when the configuration was last confirmed.
 class relay_state {
 public:
-    // keyLifetime: how long keys are accepted after the configuration was last confirmed; none for no limit.
-    explicit relay_state(std::optional<duration> keyLifetime)
-        : m_keyLifetime(keyLifetime)
+    // How long the configuration may be used after it was last confirmed to be the newest.
+    struct lifetimes {
+        // To accept keys; none for no limit.
+        std::optional<duration> keys;
+        // To deny what it does not contain.
+        duration denials { 0 };
+    };
+
+    explicit relay_state(const lifetimes& lifetimes)
+        : m_lifetimes(lifetimes)
     {
     }
 
@@ -20,10 +27,7 @@
     bool install(relay_configuration configuration);
 
     // Records that the current configuration was the newest one at the given time.
-    void setConfigurationConfirmed(time_point asOf)
-    {
-        m_configurationConfirmedAt = std::max(m_configurationConfirmedAt, asOf);
-    }
+    void setConfigurationConfirmed(time_point asOf);
 
     void setServersKnown() { m_serversKnown = true; }
 
@@ -34,10 +38,14 @@
     duration configurationAge(time_point now) const { return now - m_configurationConfirmedAt; }
 
     // The configuration is so old that keys may have been revoked without this daemon's knowledge.
-    bool keysOutdated(time_point now) const
-    {
-        return m_keyLifetime && now - m_configurationConfirmedAt > *m_keyLifetime;
-    }
+    bool keysOutdated(time_point now) const { return m_lifetimes.keys && configurationAge(now) > *m_lifetimes.keys; }
+
+    // The configuration is so old that routes and keys may have been added without this daemon's knowledge.
+    bool denialsOutdated(time_point now) const { return configurationAge(now) > m_lifetimes.denials; }
+
+    // Whether a newer confirmation is worth waiting for. The answer turns to no some time after the first call that
+    // follows the last confirmation: fleet_sync has looked for another source by then and found none.
+    bool awaitsConfirmation(time_point now);
 
     bool serversKnown() const { return m_serversKnown; }
 
@@ -45,9 +53,11 @@
     const server_table& servers() const { return m_servers; }
 
 private:
-    std::optional<duration> m_keyLifetime;
+    lifetimes m_lifetimes;
     std::shared_ptr<const indexed_configuration> m_configuration;
     time_point m_configurationConfirmedAt {};
+    // Start of the wait for a confirmation newer than the last one.
+    std::optional<time_point> m_confirmationWait;
     bool m_serversKnown = false;
     server_table m_servers;
 };
--- a/libs/relay/src/admission.cpp
+++ b/libs/relay/src/admission.cpp
@@ -36,48 +36,61 @@
     return parts;
 }
 
-refusal denial(int status, const char* type) { return { status, type, std::nullopt, false, true }; }
+refusal outdated(relay_state& state, const char* type, time_point now)
+{
+    return { statusUnavailable, type, retryAfterOutdated, false, state.awaitsConfirmation(now) };
+}
+
+// A denial is a statement about the newest configuration, and callers do not repeat what was denied. A daemon that may
+// lack the newest one makes none.
+refusal denial(relay_state& state, int status, const char* type, time_point now, time_point arrival)
+{
+    if (state.denialsOutdated(arrival))
+        return outdated(state, "configuration_outdated", now);
+    return { status, type, std::nullopt, true };
+}
 
 std::optional<refusal> findTeam(
-    admission& found, const relay_state& state, const request_traits& traits, time_point now)
+    admission& found, relay_state& state, const request_traits& traits, time_point now, time_point arrival)
 {
     if (!found.configuration->configuration().teams || found.route->isPublic)
         return std::nullopt;
-    if (state.keysOutdated(now))
-        return refusal { statusUnavailable, "keys_outdated", retryAfterOutdated };
+    if (state.keysOutdated(arrival))
+        return outdated(state, "keys_outdated", now);
     found.team = found.configuration->findTeam(traits.key);
     if (!found.team)
-        return denial(statusUnauthorized, "unknown_key");
+        return denial(state, statusUnauthorized, "unknown_key", now, arrival);
     return std::nullopt;
 }
 
 } // namespace
 
-admission admit(
-    const relay_dependencies& dependencies, const http_request& request, const request_traits& traits, time_point now)
+admission admit(const relay_dependencies& dependencies, const http_request& request, const request_traits& traits,
+    time_point arrival)
 {
+    const time_point now = dependencies.time.now();
     admission found;
     found.configuration = dependencies.state.configuration();
     if (!found.configuration || !dependencies.state.serversKnown()) {
-        found.refused = refusal { statusUnavailable, "no_configuration", retryAfterStart, true };
+        found.refused = refusal { statusUnavailable, "no_configuration", retryAfterStart, false, true };
         return found;
     }
     const std::string host(findHeader(request.headers, "Host"));
     found.route = found.configuration->findRoute(host, targetPath(request.target));
     if (!found.route) {
-        found.refused = denial(statusNotFound, "unknown_route");
+        found.refused = denial(dependencies.state, statusNotFound, "unknown_route", now, arrival);
         return found;
     }
     if (traits.id.empty()) {
         found.refused = refusal { statusBadRequest, "no_request_id", std::nullopt };
         return found;
     }
-    found.refused = findTeam(found, dependencies.state, traits, now);
+    found.refused = findTeam(found, dependencies.state, traits, now, arrival);
     if (found.refused)
         return found;
     const duration callerTimeout = traits.timeLeft.value_or(defaultDeadline);
     const duration routeTimeout = found.route->timeout;
-    found.deadline = now + (routeTimeout.count() > 0 ? std::min(callerTimeout, routeTimeout) : callerTimeout);
+    found.deadline = arrival + (routeTimeout.count() > 0 ? std::min(callerTimeout, routeTimeout) : callerTimeout);
     found.fingerprint = fingerprintOf(found, request, host);
     found.parts = sharedParts(traits);
     const int64_t wallTime = dependencies.time.wallMilliseconds();
--- a/libs/relay/src/admission.h
+++ b/libs/relay/src/admission.h
@@ -12,10 +12,10 @@
     int status;
     const char* type;
     std::optional<duration> retryAfter;
-    // The daemon has just started and has not received the fleet state yet.
-    bool fleetStateMissing = false;
     // The configuration does not allow the request; a newer one may.
     bool deniedByConfiguration = false;
+    // The fleet state that the decision needs may arrive soon.
+    bool awaitsFleetState = false;
 };
 
 // Result of admitting a request. If it is refused, the fields that were not determined keep their defaults.
@@ -34,7 +34,7 @@
 };
 
 // Determines the route and the team of a request, or why it is refused. Updates no metrics.
-admission admit(
-    const relay_dependencies& dependencies, const http_request& request, const request_traits& traits, time_point now);
+admission admit(const relay_dependencies& dependencies, const http_request& request, const request_traits& traits,
+    time_point arrival);
 
 } // namespace pollen
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -33,8 +33,8 @@
 constexpr const char* otherAnswerReason = "holds_other_answer";
 constexpr const char* serverUnreachableReason = "server_unreachable";
 
-// How long requests wait for the first fleet state after a start. Callers allow at least this long for the reading of
-// their request.
+// How long requests wait for the first fleet state after a start, or for a newer one. Callers allow at least this long
+// for the reading of their request.
 constexpr duration maximumFleetStateWait = std::chrono::milliseconds(300);
 // Time in which a full server works off part of its queue. Doubles with each wait.
 constexpr duration initialCapacityBackoff = std::chrono::milliseconds(60);
@@ -95,9 +95,9 @@
 {
     const time_point now = m_dependencies.time.now();
     m_admission = admit(m_dependencies, m_request->request(), m_traits, m_start);
-    // A daemon that has just started receives the fleet state soon; waiting saves callers a retry.
-    m_awaitsFleetState
-        = m_admission.refused && m_admission.refused->fleetStateMissing && now - m_start < maximumFleetStateWait;
+    // Waiting saves callers a retry.
+    m_awaitsFleetState = m_admission.refused && m_admission.refused->awaitsFleetState
+        && now - m_start < std::min(maximumFleetStateWait, m_traits.timeLeft.value_or(maximumFleetStateWait) / 2);
     if (m_awaitsFleetState)
         return;
     if (m_admission.refused) {
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -51,7 +51,7 @@
     void onFinished(const exchange_result& result) override;
 
     void attempt();
-    // Admits the request and makes its first attempt, unless the fleet state is still unknown.
+    // Admits the request and makes its first attempt, unless it waits for the fleet state.
     void admitAndAttempt();
     // Chooses a server, of any version if none of the wanted one accepts work at present. A session keeps its version
     // if servers of that version are only at their rate limits.
@@ -164,7 +164,7 @@
     // Index of the requested model in the route's list.
     size_t m_model = 0;
     std::vector<server_handle> m_triedServers;
-    // The daemon has just started and has not received the fleet state yet.
+    // The daemon has no fleet state yet, or one that is too old to decide on the request.
     bool m_awaitsFleetState = false;
     // A permit for a server with a rate limit has been asked for.
     bool m_awaitsPermit = false;
--- a/libs/relay/src/relay_state.cpp
+++ b/libs/relay/src/relay_state.cpp
@@ -2,6 +2,13 @@
 
 namespace pollen {
 
+namespace {
+
+// Two requests of fleet_sync to other daemons, or one call to the store.
+constexpr duration maximumConfirmationWait = std::chrono::milliseconds(300);
+
+} // namespace
+
 bool relay_state::install(relay_configuration configuration)
 {
     if (m_configuration && configuration.version <= m_configuration->configuration().version)
@@ -10,4 +17,19 @@
     return true;
 }
 
+void relay_state::setConfigurationConfirmed(time_point asOf)
+{
+    if (asOf <= m_configurationConfirmedAt)
+        return;
+    m_configurationConfirmedAt = asOf;
+    m_confirmationWait.reset();
+}
+
+bool relay_state::awaitsConfirmation(time_point now)
+{
+    if (!m_confirmationWait)
+        m_confirmationWait = now;
+    return now - *m_confirmationWait < maximumConfirmationWait;
+}
+
 } // namespace pollen
--- a/libs/relay/tests/crash_detector_test.cpp
+++ b/libs/relay/tests/crash_detector_test.cpp
@@ -66,7 +66,7 @@
     null_logger m_log;
     log_budget m_budget { 50 };
     relay_metrics m_metrics;
-    relay_state m_state { std::nullopt };
+    relay_state m_state { {} };
     crash_table m_table { instance_id("d") };
     fake_probe m_probe;
     crash_detector m_detector { m_table, m_state, m_probe, m_metrics, m_budget, m_time, m_log };
--- a/libs/relay/tests/relay_values_test.cpp
+++ b/libs/relay/tests/relay_values_test.cpp
@@ -71,7 +71,7 @@
 
 TEST(RelayState, NeverGoesBackToAnOlderConfiguration)
 {
-    relay_state state(std::nullopt);
+    relay_state state({});
     EXPECT_TRUE(state.install(sampleConfiguration(5)));
     EXPECT_FALSE(state.install(sampleConfiguration(4)));
     EXPECT_FALSE(state.install(sampleConfiguration(5)));
@@ -81,17 +81,42 @@
 
 TEST(RelayState, HonoursKeysOnlyWhileTheConfigurationIsKnownToBeCurrent)
 {
-    relay_state strict(std::chrono::seconds(4));
+    relay_state strict({ std::chrono::seconds(4), std::chrono::seconds(2) });
     EXPECT_TRUE(strict.keysOutdated(start));
     strict.setConfigurationConfirmed(start);
     EXPECT_FALSE(strict.keysOutdated(start + std::chrono::seconds(4)));
     EXPECT_TRUE(strict.keysOutdated(start + std::chrono::milliseconds(4001)));
     strict.setConfigurationConfirmed(start - std::chrono::seconds(3));
     EXPECT_FALSE(strict.keysOutdated(start + std::chrono::seconds(4))) << "a late response does not move the time back";
-    relay_state lenient(std::nullopt);
+    relay_state lenient({});
     EXPECT_FALSE(lenient.keysOutdated(start + std::chrono::hours(1)));
 }
 
+// Guards against DENIED: a "no" was given by a configuration of any age.
+TEST(RelayState, DeniesOnlyWhileTheConfigurationIsKnownToBeCurrent)
+{
+    relay_state state({ std::nullopt, std::chrono::seconds(2) });
+    EXPECT_TRUE(state.denialsOutdated(start));
+    state.setConfigurationConfirmed(start);
+    EXPECT_FALSE(state.denialsOutdated(start + std::chrono::seconds(2)));
+    EXPECT_TRUE(state.denialsOutdated(start + std::chrono::milliseconds(2001)));
+}
+
+// Guards against requests that are held although no newer configuration is to be had.
+TEST(RelayState, AwaitsAConfirmationForABoundedTime)
+{
+    relay_state state({ std::nullopt, std::chrono::seconds(2) });
+    const time_point asked = start + std::chrono::seconds(9);
+    EXPECT_TRUE(state.awaitsConfirmation(asked));
+    EXPECT_TRUE(state.awaitsConfirmation(asked + std::chrono::milliseconds(299)));
+    EXPECT_FALSE(state.awaitsConfirmation(asked + std::chrono::milliseconds(300)));
+    EXPECT_FALSE(state.awaitsConfirmation(asked + std::chrono::seconds(9)));
+    state.setConfigurationConfirmed(start);
+    EXPECT_TRUE(state.awaitsConfirmation(asked + std::chrono::seconds(9))) << "there is a source again";
+    state.setConfigurationConfirmed(start - std::chrono::seconds(1));
+    EXPECT_FALSE(state.awaitsConfirmation(asked + std::chrono::seconds(10)));
+}
+
 TEST(EventSplitter, ReturnsCompleteEventsForAnySplitOfTheBytes)
 {
     const std::string stream = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid:3\r\ndata: d\r\n\r\nid: 4\ndata: cut";
