--- a/standins/tests/site_soak_test.cpp
+++ b/standins/tests/site_soak_test.cpp
@@ -192,7 +192,7 @@
         for (resting_address& resting : m_addresses) {
             if (now < resting.freeAt || draw(3) == 0)
                 continue;
-            const endpoint address = resting.address;
+            endpoint address = resting.address;
             std::swap(resting, m_addresses.back());
             m_addresses.pop_back();
             return address;
