--- a/libs/http/tests/not_run_test.cpp
+++ b/libs/http/tests/not_run_test.cpp
@@ -180,7 +180,7 @@
     }
 
     static constexpr duration shortTime = std::chrono::milliseconds(20);
-    static constexpr exchange_options brief { std::chrono::milliseconds(100), std::chrono::milliseconds(40) };
+    inline static const exchange_options brief { std::chrono::milliseconds(100), std::chrono::milliseconds(40) };
 
     event_loop m_loop;
     // The sockets of the tests are not registered with the loop; the timer makes runUntil() look at them.
@@ -215,8 +215,10 @@
 TEST_F(NotRunTest, WhatAFullListenQueueTurnsAwayIsNeverDelivered)
 {
     const raw_listener server(0);
+    constexpr int exchanges = 8;
     std::vector<recorded_exchange*> sent;
-    for (int i = 0; i < 8; ++i)
+    sent.reserve(exchanges);
+    for (int i = 0; i < exchanges; ++i)
         sent.push_back(&start(server, "id-" + std::to_string(i) + ".", brief));
     runFor(std::chrono::milliseconds(200));
     std::string delivered;
