--- a/standins/tests/configuration_age_test.cpp
+++ b/standins/tests/configuration_age_test.cpp
@@ -32,7 +32,7 @@
         m_store.put("keyed.op", "config", configuration(1));
         m_store.put("keyed.servers", "s1", serverEntry("desk", m_server.address()));
     }
-    ~ConfigurationAgeTest() override { std::filesystem::remove_all(m_directory); }
+    void TearDown() override { std::filesystem::remove_all(m_directory); }
 
     void runFor(duration span)
     {
