Show that a refused repeat is taken for the lost first transmission (fails)

What callers see: the router's own interface says run: not_run of a call whose first transmission a server had read, and the claim ledger takes an append for undone that the log may hold. Cause: the HTTP client repeats a request on a new connection by itself, and the refusal of the repeat (X-Run, 429) is taken for both transmissions; exchange_result does not say that there was another.

--- a/libs/backend/tests/backend_contract_test.cpp
+++ b/libs/backend/tests/backend_contract_test.cpp
@@ -198,4 +198,37 @@
     EXPECT_EQ(findHeader(m_lastRequest.headers, "Idempotency-Key"), "key");
 }
 
+// Guards against REFUSED at the router's own interface: a call whose first transmission was lost behind the server's
+// read was reported as not run, as the server refused the second one.
+TEST_F(BackendTest, ARefusalOfARepeatSaysNothingOfTheFirstTransmission)
+{
+    int requests = 0;
+    http_server server(m_loop, { "127.0.0.1", 0 }, {}, [&](const std::shared_ptr<server_request>& request) {
+        const std::string id(findHeader(request->request().headers, "X-Request-Id"));
+        ++requests;
+        if (requests == 1)
+            request->reply(200, { { "X-Request-Id", id } }, "");
+        else if (requests == 2)
+            request->abort();
+        else
+            request->reply(503, { { "X-Request-Id", id }, { "X-Run", "not_run" } }, "");
+    });
+    http_routed_service service(m_client, std::chrono::seconds(1));
+    std::vector<std::optional<backend_failure>> ends;
+    for (const char* id : { "r1", "r2" }) {
+        service_call call;
+        call.id = request_id(id);
+        call.method = "GET";
+        call.target = "/";
+        call.timeout = std::chrono::seconds(2);
+        const size_t before = ends.size();
+        const auto handle = service.call(server.address(), call,
+            [&](const service_answer*, std::optional<backend_failure> failure) { ends.push_back(failure); });
+        ASSERT_TRUE(m_loop.runUntil([&] { return ends.size() > before; }, maximumWait));
+    }
+    ASSERT_EQ(requests, 3);
+    ASSERT_TRUE(ends[1].has_value());
+    EXPECT_FALSE(certainlyNotRun(*ends[1])) << toText(*ends[1]);
+}
+
 } // namespace pollen
--- a/libs/platform/tests/platform_contract_test.cpp
+++ b/libs/platform/tests/platform_contract_test.cpp
@@ -218,4 +218,23 @@
     EXPECT_EQ(woken.records[1].value, "c");
 }
 
+// Guards against a write that is taken for undone: its first transmission was lost behind the server's read, and the
+// refusal of the second one was taken for both.
+TEST_F(PlatformTest, ARefusalOfARepeatSaysNothingOfTheFirstTransmission)
+{
+    int requests = 0;
+    http_server server(m_loop, { "127.0.0.1", 0 }, {}, [&](const std::shared_ptr<server_request>& request) {
+        ++requests;
+        if (requests == 1)
+            request->reply(200, {}, R"({"first_offset":12})");
+        else if (requests == 2)
+            request->abort();
+        else
+            request->reply(429, {}, "");
+    });
+    EXPECT_EQ(append(server.address()).outcome, append_outcome::Appended);
+    EXPECT_EQ(append(server.address()).outcome, append_outcome::Unknown);
+    EXPECT_EQ(requests, 3);
+}
+
 } // namespace pollen
