--- a/standins/tests/not_run_test.cpp
+++ b/standins/tests/not_run_test.cpp
@@ -131,9 +131,9 @@
         EXPECT_TRUE(m_loop.runUntil([&] { return m_daemon->relay().gateway().ready(); }, patience));
     }
 
-    told_answer send(counting_server& server, const std::string& id)
+    told_answer send(counting_server& server, const std::string& id, const std::string& target = "/o/x")
     {
-        const http_request message { "GET", "/o/x",
+        const http_request message { "GET", target,
             { { "Host", "h.example" }, { "Pollenroute-Request-Id", id }, { "Pollenroute-Deadline-Ms", "350" },
                 { "Pollenroute-Key", "key" } },
             "" };
@@ -280,4 +280,31 @@
     }
 }
 
+// Guards against answers that get worse: refusals that do not name a repeatable request use up its attempts.
+TEST_F(NotRunRelayTest, UnnamedRefusalsDoNotUseUpTheAttemptsOfARepeatableRequest)
+{
+    const std::string unnamed = full + statement + noBody;
+    counting_server server({ "", { unnamed, unnamed, done }, false });
+    startDaemon(server);
+    const told_answer told = send(server, "read", "/r/x");
+    EXPECT_EQ(told.status, 200) << told.body << server.requests();
+}
+
+// Guards against REFUSED: what a daemon that stops says of an order that waits behind refusals, and is still open.
+TEST_F(NotRunRelayTest, ADaemonThatStopsEndsAnOrderThatWaitsForCapacity)
+{
+    counting_server server({ "", { full + statement + idLine + noBody }, false });
+    startDaemon(server);
+    // Three servers have refused, and the wait that follows is longer than this.
+    timer stop(m_loop, [&] {
+        if (server.requests() == 3)
+            m_daemon->relay().gateway().endOpenRequests();
+    });
+    stop.startRepeating(std::chrono::milliseconds(1));
+    const told_answer told = send(server, "order");
+    EXPECT_EQ(told.status, 503);
+    EXPECT_NE(told.body.find("\"stopping\""), std::string::npos) << told.body;
+    EXPECT_EQ(server.requests(), 3U);
+}
+
 } // namespace pollen
