Show a body refused by outdated limits (fails)

ADaemonWithAnOldConfigurationAppliesNoOldLimits: a daemon without the store answers 413 by the limits that it has, however old, where the newest configuration allows the body. docs/design/configuration-age.md had this as suspected. Same cause as DENIED by 404 and 401.

--- a/standins/tests/configuration_age_test.cpp
+++ b/standins/tests/configuration_age_test.cpp
@@ -158,4 +158,36 @@
     }
 }
 
+// Guards against DENIED: a daemon with an old configuration turned a body away that the newest one allows.
+TEST_F(ConfigurationAgeTest, ADaemonWithAnOldConfigurationAppliesNoOldLimits)
+{
+    const auto limited = [](int version, const char* bytes) {
+        return replaced(configuration(version), "\"routes\":[",
+            std::string("\"limits\":{\"max-header-bytes\":20000,\"max-body-bytes\":") + bytes
+                + ",\"header-timeout-ms\":3000,\"idle-timeout-ms\":5000},\"routes\":[");
+    };
+    const auto post = [&](const endpoint& daemon) {
+        const http_request message { "POST", "/r/x",
+            { { "Host", "h.example" }, { "Pollenroute-Request-Id", "p-" + std::to_string(++m_asked) },
+                { "Pollenroute-Deadline-Ms", "1500" }, { "Pollenroute-Key", "key" } },
+            std::string(5000, 'x') };
+        std::optional<int> status;
+        m_caller.fetch(daemon, message, {},
+            [&](const exchange_result&, const http_response& response) { status = response.status; });
+        EXPECT_TRUE(m_loop.runUntil([&] { return status.has_value(); }, patience));
+        return status.value_or(0);
+    };
+    m_store.put("keyed.op", "config", limited(2, "1000"));
+    daemon_process daemon("a1", "a", loopbackAddress(33), m_store.address(), m_directory.string());
+    daemon.start();
+    ASSERT_TRUE(isServed(daemon.callers(), "/r/x", patience));
+    EXPECT_EQ(post(daemon.callers()), 413);
+    m_store.set("outage", 1);
+    runFor(configurationLimit);
+    m_store.put("keyed.op", "config", limited(3, "100000"));
+    runFor(configurationLimit);
+    const int status = post(daemon.callers());
+    EXPECT_TRUE(status == 503 || status == 200) << status;
+}
+
 } // namespace pollen
