Take a refused repeat for no word on the first transmission

What callers saw: nothing reported. At our own interface a call could be answered run=not_run, and a claim be forgotten, although the first transmission of the request may have run.

Cause: http_client repeats a request whose kept connection breaks. A 429, 503 or X-Run: not_run on the repeat was taken for the lost transmission as well: the record log said NotAppended, services and engines Busy.

Change: exchange_result tells that the request had been written before; a refusal of the repeat is then unknown (record log) or a lost connection (services, engines).

--- a/libs/backend/src/failure_mapping.h
+++ b/libs/backend/src/failure_mapping.h
@@ -21,4 +21,10 @@
     }
 }
 
+// Maps a server's statement that it has not run the call. It does not cover an earlier transmission of the request.
+inline backend_failure toRefusalFailure(const exchange_result& result)
+{
+    return result.repeated ? backend_failure::ConnectionLost : backend_failure::Busy;
+}
+
 } // namespace pollen
--- a/libs/backend/src/http_model_engine.cpp
+++ b/libs/backend/src/http_model_engine.cpp
@@ -103,7 +103,7 @@
         if (!result.ok())
             return toBackendFailure(result);
         if (m_status == statusTooManyRequests || m_status == statusUnavailable)
-            return backend_failure::Busy;
+            return toRefusalFailure(result);
         if (m_status >= statusServerError)
             return backend_failure::ServerError;
         if (m_status != statusOk)
--- a/libs/backend/src/http_routed_service.cpp
+++ b/libs/backend/src/http_routed_service.cpp
@@ -54,7 +54,7 @@
         else if (!result.ok())
             callback(nullptr, toBackendFailure(result));
         else if (m_refused)
-            callback(nullptr, backend_failure::Busy);
+            callback(nullptr, toRefusalFailure(result));
         else
             callback(&m_answer, std::nullopt);
     }
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -244,7 +244,7 @@
         m_deadline.stop();
         const bool sent = m_sentEarlier || m_connection->bytesSent() > 0;
         const exchange_result result { asSeenByRequest(failure, sent), sent, m_responseStarted, m_refused,
-            m_endedWithConnection };
+            m_endedWithConnection, m_sentEarlier };
         const auto connection = std::exchange(m_connection, nullptr);
         if (failure != exchange_failure::None)
             connection->abort();
--- a/libs/platform/src/http_record_log.cpp
+++ b/libs/platform/src/http_record_log.cpp
@@ -18,7 +18,7 @@
     if (!result.ok())
         return { result.requestSent ? append_outcome::Unknown : append_outcome::NotAppended, 0 };
     if (response.status == statusTooManyRequests || findHeader(response.headers, runHeader) == notRun)
-        return { append_outcome::NotAppended, 0 };
+        return { result.repeated ? append_outcome::Unknown : append_outcome::NotAppended, 0 };
     if (response.status != statusOk)
         return { append_outcome::Unknown, 0 };
     const auto json = nlohmann::json::parse(response.body, nullptr, false);
