Draw nothing but a failure from a refusal that names no request

Cause: an answer that states not-executed without the request's id was, once it no longer counted as a refusal, handled as an answer: it vouched that the request crashes no server, counted as a bad answer of the version, as a sample of first bytes, and its server as sound. Its connection was kept.

Change: it counts as a run of the request, for the route's attempts, as a failure of the server, and as nothing else; its connection is closed.

--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -32,6 +32,8 @@
 constexpr const char* streamCutReason = "stream_cut";
 constexpr const char* otherAnswerReason = "holds_other_answer";
 constexpr const char* serverUnreachableReason = "server_unreachable";
+constexpr const char* notRunReason = "not_run";
+constexpr const char* unnamedRefusalReason = "unnamed_refusal";
 
 // How long requests wait for the first fleet state after a start, or for a newer one. Callers allow at least this long
 // for the reading of their request.
@@ -418,13 +420,16 @@
     }
     recordRateLimit(now);
     recordStatements(now);
-    const bool claimsNotRun = m_answer.notRun || m_answer.misdirected;
+    const bool claimsNotRun = claimsRefusal();
     // Without the id, the answer may have been written before the server read the request.
     m_isRefusal = claimsNotRun && findHeader(headers, m_dependencies.protocol.requestIdHeader()) == m_traits.id.text();
-    if (!m_isRefusal) {
+    if (!m_isRefusal)
         ++m_runs;
+    if (!claimsNotRun) {
         m_firstByteTime = now - m_sentAt;
         m_firstByteTimer.stop(now);
+    } else if (!m_isRefusal) {
+        m_exchange->closeWhenFinished();
     }
     const bool failed = status >= firstServerErrorStatus;
     m_discard = claimsNotRun || m_streamStarted || meansNotRun(status)
@@ -578,16 +583,15 @@
 {
     const auto self = shared_from_this();
     m_exchange.reset();
-    const bool notRun = m_isRefusal;
-    if (notRun) {
+    if (m_isRefusal)
         m_evidence.attemptWasRefused();
-    } else {
+    else
         m_dependencies.state.servers().reportFailure(*m_server, m_dependencies.time.now());
+    if (!claimsRefusal())
         countAnswer(false);
-    }
     releaseServer();
     discardAnswer(reason);
-    retryOrFail(notRun ? "not_run" : reason, true);
+    retryOrFail(m_isRefusal ? notRunReason : reason, true);
 }
 
 void relay_exchange::forwardEvents(const std::string& events)
@@ -634,7 +638,13 @@
     releaseServer();
     if (m_isRefusal) {
         m_evidence.attemptWasRefused();
-        retryOrFail("not_run", true);
+        retryOrFail(notRunReason, true);
+        return;
+    }
+    // Such an answer says nothing of the request, and nothing of how the server's version answers.
+    if (claimsRefusal()) {
+        m_dependencies.state.servers().reportFailure(server, m_dependencies.time.now());
+        retryOrFail(unnamedRefusalReason, true);
         return;
     }
     const answer_end ended = answerEnd(result);
@@ -656,6 +666,8 @@
     finishAnswer(ended.body);
 }
 
+bool relay_exchange::claimsRefusal() const { return m_answer.notRun || m_answer.misdirected; }
+
 // Before the first answer there may be no route yet.
 bool relay_exchange::isStreamAnswer() const { return isSuccess(m_status) && m_admission.route->streaming; }
 
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -79,6 +79,8 @@
 
     // How the answer of the current attempt has ended.
     answer_end answerEnd(const exchange_result& result) const;
+    // The answer states that the server has not run a request; whether it is this one, m_isRefusal tells.
+    bool claimsRefusal() const;
     bool isStreamAnswer() const;
     // Drops what has been read of the current answer and was not passed on, as the answer has ended for this reason.
     void discardAnswer(const char* reason);
