--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -7,8 +7,7 @@
 constexpr duration sweepInterval = std::chrono::seconds(1);
 // Keys are refused this long before the limit, so that a request on its way to a server does not pass it.
 constexpr duration revocationMargin = std::chrono::milliseconds(400);
-// Share of the configuration limit after which a configuration that was not confirmed again denies nothing. The rest is
-// left to requests on their way.
+// Share of the configuration limit after which a configuration that was not confirmed again denies nothing.
 constexpr double denialShareOfConfigurationLimit = 0.8;
 // Time that a read of the store may take beyond its wait before its view counts as lost: less for other daemons, which
 // can read it themselves.
--- a/libs/relay/include/relay/execution_evidence.h
+++ b/libs/relay/include/relay/execution_evidence.h
@@ -5,7 +5,7 @@
 namespace pollen {
 
 // What shows that no server has run a request and none will. Every attempt counts as one that may run from the moment
-// it is made; only the calls that name an evidence to the contrary take that back. A cancelled, timed-out or broken
+// it is made; only the calls that give evidence to the contrary take that back. A cancelled, timed-out or broken
 // attempt therefore needs no call.
 class execution_evidence {
 public:
--- a/libs/relay/include/relay/relay_state.h
+++ b/libs/relay/include/relay/relay_state.h
@@ -43,9 +43,9 @@
     // The configuration is so old that routes and keys may have been added without this daemon's knowledge.
     bool denialsOutdated(time_point now) const { return configurationAge(now) > m_lifetimes.denials; }
 
-    // Whether a newer confirmation is worth waiting for. The answer turns to no some time after the first call that
-    // follows the last confirmation: fleet_sync has looked for another source by then and found none.
-    bool awaitsConfirmation(time_point now);
+    // Begins the wait for a newer confirmation, or goes on with it. Returns false once it has lasted for as long as
+    // fleet_sync needs to look for another source; the next confirmation ends the wait.
+    bool waitForConfirmation(time_point now);
 
     bool serversKnown() const { return m_serversKnown; }
 
--- a/libs/relay/src/admission.cpp
+++ b/libs/relay/src/admission.cpp
@@ -38,7 +38,7 @@
 
 refusal outdated(relay_state& state, const char* type, time_point now)
 {
-    return { statusUnavailable, type, retryAfterOutdated, false, state.awaitsConfirmation(now) };
+    return { statusUnavailable, type, retryAfterOutdated, false, state.waitForConfirmation(now) };
 }
 
 // A denial is a statement about the newest configuration, and callers do not repeat what was denied. A daemon that may
--- a/libs/relay/src/relay_state.cpp
+++ b/libs/relay/src/relay_state.cpp
@@ -25,7 +25,7 @@
     m_confirmationWait.reset();
 }
 
-bool relay_state::awaitsConfirmation(time_point now)
+bool relay_state::waitForConfirmation(time_point now)
 {
     if (!m_confirmationWait)
         m_confirmationWait = now;
--- a/libs/relay/tests/relay_values_test.cpp
+++ b/libs/relay/tests/relay_values_test.cpp
@@ -107,14 +107,14 @@
 {
     relay_state state({ std::nullopt, std::chrono::seconds(2) });
     const time_point asked = start + std::chrono::seconds(9);
-    EXPECT_TRUE(state.awaitsConfirmation(asked));
-    EXPECT_TRUE(state.awaitsConfirmation(asked + std::chrono::milliseconds(299)));
-    EXPECT_FALSE(state.awaitsConfirmation(asked + std::chrono::milliseconds(300)));
-    EXPECT_FALSE(state.awaitsConfirmation(asked + std::chrono::seconds(9)));
+    EXPECT_TRUE(state.waitForConfirmation(asked));
+    EXPECT_TRUE(state.waitForConfirmation(asked + std::chrono::milliseconds(299)));
+    EXPECT_FALSE(state.waitForConfirmation(asked + std::chrono::milliseconds(300)));
+    EXPECT_FALSE(state.waitForConfirmation(asked + std::chrono::seconds(9)));
     state.setConfigurationConfirmed(start);
-    EXPECT_TRUE(state.awaitsConfirmation(asked + std::chrono::seconds(9))) << "there is a source again";
+    EXPECT_TRUE(state.waitForConfirmation(asked + std::chrono::seconds(9))) << "there is a source again";
     state.setConfigurationConfirmed(start - std::chrono::seconds(1));
-    EXPECT_FALSE(state.awaitsConfirmation(asked + std::chrono::seconds(10)));
+    EXPECT_FALSE(state.waitForConfirmation(asked + std::chrono::seconds(10)));
 }
 
 TEST(EventSplitter, ReturnsCompleteEventsForAnySplitOfTheBytes)
--- a/standins/tests/not_run_test.cpp
+++ b/standins/tests/not_run_test.cpp
@@ -278,7 +278,8 @@
     }
 }
 
-// Guards against BUDGET: a request that may have run behind a refusal without its id ran more often than its route allows.
+// Guards against BUDGET: a request that may have run behind a refusal without its id ran more often than its route
+// allows.
 TEST_F(NotRunRelayTest, UnnamedRefusalsUseUpTheAttemptsOfARepeatableRequest)
 {
     const std::string unnamed = full + statement + noBody;
