Check stated ages against the records that daemons hold

AStatementOfAgeCoversAllRecordsBeforeIt compared positions, so that a daemon that takes the position of an omitted change without its records passed. Now records are compared.

--- a/libs/relay/tests/configuration_delay_test.cpp
+++ b/libs/relay/tests/configuration_delay_test.cpp
@@ -195,12 +195,17 @@
         return found;
     }
 
+    static std::string keyOf(uint64_t record) { return "config-" + std::to_string(record); }
+
     void checkStatement(const member& item)
     {
-        const shared_topic& topic = item.daemon->store.topic;
-        const uint64_t known = topic.position().offset;
-        if (topic.isSynced() && known < m_records)
-            m_longestFalseStatement = std::max(m_longestFalseStatement, topic.asOf() - m_writtenAt[known]);
+        const single_topic_store& store = item.daemon->store;
+        if (!store.topic.isSynced() || store.listener.values.size() == m_records)
+            return;
+        for (uint64_t i = 0; i < m_records; ++i) {
+            if (!store.listener.values.contains(keyOf(i)))
+                m_longestFalseStatement = std::max(m_longestFalseStatement, store.topic.asOf() - m_writtenAt[i]);
+        }
     }
 
     void advance(member& item)
@@ -233,7 +238,7 @@
         if (!hasNews && now - *item.readSince < m_wait)
             return;
         for (uint64_t i = 0; i < m_records; ++i)
-            store.topic.apply({ "config-" + std::to_string(i), std::string(m_sizes[i], 'x'), { 1, i } });
+            store.topic.apply({ keyOf(i), std::string(m_sizes[i], 'x'), { 1, i } });
         store.topic.markSynced({ 1, m_records }, now);
         item.readSince = now;
     }
