--- a/libs/relay/src/admission.cpp
+++ b/libs/relay/src/admission.cpp
@@ -38,7 +38,10 @@
 
 refusal outdated(relay_state& state, const char* type, time_point now)
 {
-    return { statusUnavailable, type, retryAfterOutdated, false, state.waitForConfirmation(now) };
+    return { .status = statusUnavailable,
+        .type = type,
+        .retryAfter = retryAfterOutdated,
+        .awaitsFleetState = state.waitForConfirmation(now) };
 }
 
 // A denial is a statement about the newest configuration, and callers do not repeat what was denied. A daemon that may
@@ -47,7 +50,7 @@
 {
     if (state.denialsOutdated(arrival))
         return outdated(state, "configuration_outdated", now);
-    return { status, type, std::nullopt, true };
+    return { .status = status, .type = type, .retryAfter = std::nullopt, .deniedByConfiguration = true };
 }
 
 std::optional<refusal> findTeam(
@@ -72,7 +75,10 @@
     admission found;
     found.configuration = dependencies.state.configuration();
     if (!found.configuration || !dependencies.state.serversKnown()) {
-        found.refused = refusal { statusUnavailable, "no_configuration", retryAfterStart, false, true };
+        found.refused = refusal { .status = statusUnavailable,
+            .type = "no_configuration",
+            .retryAfter = retryAfterStart,
+            .awaitsFleetState = true };
         return found;
     }
     const std::string host(findHeader(request.headers, "Host"));
