--- a/libs/ctl/src/fleet_log.cpp
+++ b/libs/ctl/src/fleet_log.cpp
@@ -61,6 +61,8 @@
         { "connect_failed", "nothing answered at the servers' addresses" },
         { "server_unreachable", "the server fell silent and nothing accepts connections at its address" },
         { "connection_lost", "the server's connection broke while it ran the request, which may not be repeated" },
+        { "unnamed_refusal",
+            "the server's refusal did not name the request, which may have run behind it and may not be repeated" },
         { "malformed_response", "the server sent bytes that are not an answer" },
         { "response_too_large", "the server's answer was larger than allowed" },
     };
