--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -33,8 +33,8 @@
     bool refused = false;
     // The response had neither a length nor chunks and ended with its connection, so that it may be incomplete.
     bool endedWithConnection = false;
-    // The request had been written to an earlier connection, which broke. What became of it there is not known, whatever
-    // the response says.
+    // The request had been written to an earlier connection, which broke. What became of it there is not known,
+    // whatever the response says.
     bool repeated = false;
 
     bool ok() const { return failure == exchange_failure::None; }
