Site soak: refuse without an id before a request is read

What was missing: a server that refuses a connection's first exchange without the request's id, at accept or when the first bytes arrive, and then reads the request and runs it. Daemons that took this for the answer to their request promised that it had not run.

Change: one connection in twenty of the site's servers begins so.

--- a/standins/tests/queueing_server.h
+++ b/standins/tests/queueing_server.h
@@ -17,8 +17,8 @@
 
 namespace pollen {
 
-// A backend server with slots and a queue over raw sockets. It keeps its word on what it has not run, and otherwise
-// writes answers late, twice, in part or not at all.
+// A backend server with slots and a queue over raw sockets. It keeps its word on the requests that it says it has not
+// run, and otherwise writes answers late, twice, in part or not at all, and refusals that name no request.
 class queueing_server {
 public:
     // Body of a failure that promises nothing.
@@ -88,6 +88,7 @@
 private:
     static constexpr int shortBacklog = 2;
     static constexpr int usualBacklog = 128;
+    static constexpr const char* notExecuted = "Pollenroute-Not-Executed: 1\r\n";
 
     struct connection {
         connection(queueing_server& owner, bufferevent* socketEvents, std::string name)
@@ -106,6 +107,9 @@
         std::string place;
         // Bytes that are written before the next answer.
         std::string repeated;
+        // Refuses what comes first before reading it, and runs it nevertheless.
+        bool refusesUnread = false;
+        bool hasRefusedUnread = false;
         bool busy = false;
         bool closed = false;
         // The other end has closed the connection.
@@ -158,6 +162,9 @@
         bufferevent_setcb(accepted->events, onRead, nullptr, onEvent, accepted.get());
         bufferevent_enable(accepted->events, EV_READ | EV_WRITE);
         m_connections.insert(accepted);
+        accepted->refusesUnread = draw(20) == 0;
+        if (accepted->refusesUnread && draw(2) == 0)
+            writeUnnamedRefusal(*accepted);
     }
 
     std::shared_ptr<connection> hold(connection& item)
@@ -208,6 +215,8 @@
             return;
         evbuffer* input = bufferevent_get_input(item.events);
         const std::string text(reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), evbuffer_get_length(input));
+        if (item.refusesUnread && !item.hasRefusedUnread && !text.empty())
+            writeUnnamedRefusal(item);
         const size_t head = text.find("\r\n\r\n");
         if (head == std::string::npos)
             return;
@@ -222,6 +231,8 @@
         taken->place = item.place;
         taken->id = field(request, "Pollenroute-Request-Id");
         taken->head = request;
+        if (std::exchange(item.refusesUnread, false))
+            m_record.note(taken->id, item.place + " has written before reading it: 503 Service Unavailable, no id");
         admit(taken);
     }
 
@@ -235,7 +246,7 @@
         }
         const std::string expected = field(taken->head, "Pollenroute-Expect-Instance");
         if (!expected.empty() && expected != m_id) {
-            const std::string statement = draw(2) == 0 ? "Pollenroute-Not-Executed: 1\r\n" : "";
+            const std::string statement = draw(2) == 0 ? notExecuted : "";
             write(taken, whole(taken->id, "421 Misdirected Request", statement, ""));
             finish(taken);
             return;
@@ -344,6 +355,13 @@
         m_late.push_back(late);
     }
 
+    void writeUnnamedRefusal(connection& to)
+    {
+        to.hasRefusedUnread = true;
+        const std::string refusal = whole("", "503 Service Unavailable", notExecuted, "full");
+        bufferevent_write(to.events, refusal.data(), refusal.size());
+    }
+
     void repeat(const job_handle& to, const std::string& bytes)
     {
         const auto connection = to->from.lock();
@@ -373,10 +391,10 @@
 
     void refuse(const job_handle& refused)
     {
-        const std::string statement = "Pollenroute-Not-Executed: 1\r\n";
         const std::string status = draw(10) == 0 ? "429 Too Many Requests" : "503 Service Unavailable";
-        const std::string refusal = whole(refused->id, status, statement, "full");
-        const std::string cut = head(refused->id, status, statement + "Content-Length: 200\r\n") + "full";
+        const std::string refusal = whole(refused->id, status, notExecuted, "full");
+        const std::string cut
+            = head(refused->id, status, std::string(notExecuted) + "Content-Length: 200\r\n") + "full";
         const size_t choice = draw(100);
         if (choice < 5) {
             writeAndClose(refused, cut, draw(2) == 0);
@@ -396,11 +414,11 @@
         if (choice < 40)
             repeat(refused, refusal);
         else if (choice < 50)
-            repeat(refused, whole("", status, statement, "full"));
+            repeat(refused, whole("", status, notExecuted, "full"));
         else if (choice < 65)
             writeLate(refused, refusal);
         else if (choice < 70)
-            writeLate(refused, whole("", status, statement, "full"));
+            writeLate(refused, whole("", status, notExecuted, "full"));
         finish(refused);
     }
 
