--- a/standins/tests/configuration_age_test.cpp
+++ b/standins/tests/configuration_age_test.cpp
@@ -113,13 +113,11 @@
     const fleet_daemon daemon(m_loop, m_log, m_time, m_store, "a1", "a");
     ASSERT_TRUE(isServed(daemon.address(), "/r/x", patience));
     const size_t before = m_store.calls();
-    constexpr size_t denials = 80;
-    for (size_t i = 0; i < denials / 2; ++i) {
+    for (int i = 0; i < 40; ++i) {
         EXPECT_EQ(ask(daemon.address(), "/never/" + std::to_string(i)).status, 404);
         EXPECT_EQ(ask(daemon.address(), "/r/x", "stranger").status, 401);
     }
-    // The daemon's own reads go on meanwhile.
-    EXPECT_LT(m_store.calls() - before, denials / 2);
+    EXPECT_LE(m_store.calls() - before, 10U);
 }
 
 // Guards against DENIED: the newest configuration could not be read, and the daemon denied by the one before as if it
