Move what decides where requests go into a library of its own

Cause: libs/relay held placement, estimates, rate limits, permits and exchanges in one package, so that parts built side by side met in the same files. Change: libs/scheduling holds placement, the summed work of a group, answer times, escalation, rate limits, the permit allocator and the retry budget; it depends on base, config and fleet and builds alone. Evidence: the tests of both packages; no behaviour changes.

--- a/libs/relay/include/relay/fleet_sync.h
+++ b/libs/relay/include/relay/fleet_sync.h
@@ -10,10 +10,10 @@
 #include <relay/crash_publisher.h>
 #include <relay/fleet_store.h>
 #include <relay/fleet_sync_message.h>
-#include <relay/group_work.h>
 #include <relay/rollout_system.h>
 #include <relay/sync_load.h>
-#include <relay/work_view.h>
+#include <scheduling/group_work.h>
+#include <scheduling/work_view.h>
 
 namespace pollen {
 
--- a/libs/relay/include/relay/fleet_sync_message.h
+++ b/libs/relay/include/relay/fleet_sync_message.h
@@ -3,9 +3,9 @@
 #include <base/error.h>
 #include <relay/crash_report.h>
 #include <relay/rollout.h>
-#include <relay/server_rate_limits.h>
-#include <relay/server_work.h>
 #include <relay/shared_topic.h>
+#include <scheduling/server_rate_limits.h>
+#include <scheduling/server_work.h>
 
 namespace pollen {
 
--- a/libs/relay/include/relay/permit_message.h
+++ b/libs/relay/include/relay/permit_message.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <base/error.h>
-#include <relay/permit_allocator.h>
+#include <scheduling/permit_allocator.h>
 
 namespace pollen {
 
--- a/libs/relay/include/relay/permit_system.h
+++ b/libs/relay/include/relay/permit_system.h
@@ -7,8 +7,8 @@
 #include <memory>
 #include <peer/state_exchange.h>
 #include <relay/fleet_store.h>
-#include <relay/permit_allocator.h>
 #include <relay/permit_message.h>
+#include <scheduling/permit_allocator.h>
 #include <set>
 
 namespace pollen {
--- a/libs/relay/include/relay/relay_configuration.h
+++ b/libs/relay/include/relay/relay_configuration.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <scheduling/relay_service.h>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -54,24 +55,6 @@
     friend bool operator==(const relay_route&, const relay_route&) = default;
 };
 
-// Capacity of each server of an engine service.
-struct engine_limits {
-    uint32_t slots = 0;
-    // Capacity of the prompt cache, in tokens.
-    uint64_t cacheTokens = 0;
-
-    friend bool operator==(const engine_limits&, const engine_limits&) = default;
-};
-
-struct relay_service {
-    service_name name;
-    // Connections that one server accepts, summed over all daemons.
-    uint32_t maximumConnections = 0;
-    std::optional<engine_limits> engine;
-
-    friend bool operator==(const relay_service&, const relay_service&) = default;
-};
-
 struct relay_team {
     team_name name;
     std::vector<std::string> keys;
--- a/libs/relay/include/relay/relay_dependencies.h
+++ b/libs/relay/include/relay/relay_dependencies.h
@@ -4,23 +4,23 @@
 #include <base/random_source.h>
 #include <http/http_client.h>
 #include <http/reachability_probe.h>
-#include <relay/answer_time_estimator.h>
 #include <relay/crash_detector.h>
 #include <relay/crash_table.h>
-#include <relay/escalation_control.h>
-#include <relay/fleet_retry_budget.h>
 #include <relay/latency_baseline.h>
 #include <relay/log_budget.h>
 #include <relay/memory_budget.h>
 #include <relay/pace_baseline.h>
 #include <relay/permit_system.h>
-#include <relay/placement.h>
 #include <relay/relay_metrics.h>
 #include <relay/relay_protocol.h>
 #include <relay/relay_state.h>
 #include <relay/rollout_system.h>
-#include <relay/server_rate_limits.h>
 #include <relay/session_versions.h>
+#include <scheduling/answer_time_estimator.h>
+#include <scheduling/escalation_control.h>
+#include <scheduling/fleet_retry_budget.h>
+#include <scheduling/placement.h>
+#include <scheduling/server_rate_limits.h>
 
 namespace pollen {
 
--- a/libs/relay/include/relay/relay_protocol.h
+++ b/libs/relay/include/relay/relay_protocol.h
@@ -4,18 +4,11 @@
 #include <base/typed_id.h>
 #include <http/http_message.h>
 #include <optional>
+#include <scheduling/prompt_part.h>
 #include <vector>
 
 namespace pollen {
 
-// A section of a prompt that several requests may have in common.
-struct prompt_part {
-    uint64_t id = 0;
-    uint32_t tokens = 0;
-
-    friend bool operator==(const prompt_part&, const prompt_part&) = default;
-};
-
 // Properties of a request, from its headers.
 struct request_traits {
     request_id id;
--- a/libs/relay/src/admission.cpp
+++ b/libs/relay/src/admission.cpp
@@ -1,6 +1,6 @@
 #include "admission.h"
 
-#include "request_hash.h"
+#include <scheduling/request_hash.h>
 
 namespace pollen {
 
--- a/libs/relay/src/crash_report.cpp
+++ b/libs/relay/src/crash_report.cpp
@@ -1,4 +1,4 @@
-#include "request_hash.h"
+#include <scheduling/request_hash.h>
 
 #include <array>
 #include <cstdio>
--- a/libs/relay/src/message_codec.h
+++ b/libs/relay/src/message_codec.h
@@ -8,7 +8,7 @@
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
-#include <relay/server_rate_limits.h>
+#include <scheduling/server_rate_limits.h>
 #include <sstream>
 
 // Encoding of the messages between daemons of the relay. cereal finds the functions by name.
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -1,7 +1,7 @@
 #include "relay_exchange.h"
 
-#include "request_hash.h"
 #include "request_target.h"
+#include <scheduling/request_hash.h>
 
 #include <algorithm>
 #include <relay/response_head.h>
--- a/libs/relay/src/request_target.cpp
+++ b/libs/relay/src/request_target.cpp
@@ -1,6 +1,6 @@
 #include "request_target.h"
 
-#include "request_hash.h"
+#include <scheduling/request_hash.h>
 
 #include <relay/trial_servers.h>
 
--- a/libs/relay/src/shared_topic.cpp
+++ b/libs/relay/src/shared_topic.cpp
@@ -1,6 +1,6 @@
 #include <relay/shared_topic.h>
 
-#include "request_hash.h"
+#include <scheduling/request_hash.h>
 
 #include <algorithm>
 #include <utility>
--- a/libs/relay/src/trial_servers.cpp
+++ b/libs/relay/src/trial_servers.cpp
@@ -1,6 +1,6 @@
 #include <relay/trial_servers.h>
 
-#include "request_hash.h"
+#include <scheduling/request_hash.h>
 
 #include <algorithm>
 
--- a/libs/relay/tests/relay_values_test.cpp
+++ b/libs/relay/tests/relay_values_test.cpp
@@ -1,15 +1,15 @@
 #include <gtest/gtest.h>
 #include <random>
 #include <relay/answer_buffer.h>
-#include <relay/answer_time_estimator.h>
 #include <relay/attempt_history.h>
-#include <relay/escalation_control.h>
 #include <relay/event_splitter.h>
 #include <relay/latency_baseline.h>
 #include <relay/log_budget.h>
 #include <relay/relay_state.h>
 #include <relay/session_versions.h>
 #include <relay/stall_detector.h>
+#include <scheduling/answer_time_estimator.h>
+#include <scheduling/escalation_control.h>
 
 namespace pollen {
 
--- a/libs/relay/include/relay/group_work.h
+++ b/libs/scheduling/include/scheduling/group_work.h
@@ -3,7 +3,7 @@
 #include <base/clock.h>
 #include <list>
 #include <map>
-#include <relay/server_work.h>
+#include <scheduling/server_work.h>
 #include <unordered_map>
 
 namespace pollen {
--- a/libs/relay/include/relay/permit_allocator.h
+++ b/libs/scheduling/include/scheduling/permit_allocator.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <relay/server_rate_limits.h>
-#include <relay/token_bucket.h>
+#include <scheduling/server_rate_limits.h>
+#include <scheduling/token_bucket.h>
 
 namespace pollen {
 
--- a/libs/relay/include/relay/placement.h
+++ b/libs/scheduling/include/scheduling/placement.h
@@ -2,9 +2,11 @@
 
 #include <base/random_source.h>
 #include <fleet/server_table.h>
-#include <relay/relay_configuration.h>
-#include <relay/relay_protocol.h>
+#include <optional>
+#include <scheduling/prompt_part.h>
+#include <scheduling/relay_service.h>
 #include <unordered_map>
+#include <vector>
 
 namespace pollen {
 
--- /dev/null
+++ b/libs/scheduling/include/scheduling/relay_service.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <base/typed_id.h>
+#include <cstdint>
+#include <optional>
+
+namespace pollen {
+
+// Capacity of each server of an engine service.
+struct engine_limits {
+    uint32_t slots = 0;
+    // Capacity of the prompt cache, in tokens.
+    uint64_t cacheTokens = 0;
+
+    friend bool operator==(const engine_limits&, const engine_limits&) = default;
+};
+
+struct relay_service {
+    service_name name;
+    // Connections that one server accepts, summed over all daemons.
+    uint32_t maximumConnections = 0;
+    std::optional<engine_limits> engine;
+
+    friend bool operator==(const relay_service&, const relay_service&) = default;
+};
+
+} // namespace pollen
--- a/libs/relay/include/relay/work_view.h
+++ b/libs/scheduling/include/scheduling/work_view.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <relay/server_work.h>
+#include <scheduling/server_work.h>
 #include <unordered_map>
 
 namespace pollen {
--- a/libs/relay/src/answer_time_estimator.cpp
+++ b/libs/scheduling/src/answer_time_estimator.cpp
@@ -1,4 +1,4 @@
-#include <relay/answer_time_estimator.h>
+#include <scheduling/answer_time_estimator.h>
 
 #include <algorithm>
 
--- a/libs/relay/src/fleet_retry_budget.cpp
+++ b/libs/scheduling/src/fleet_retry_budget.cpp
@@ -1,5 +1,5 @@
 #include <algorithm>
-#include <relay/fleet_retry_budget.h>
+#include <scheduling/fleet_retry_budget.h>
 
 namespace pollen {
 
--- a/libs/relay/src/group_work.cpp
+++ b/libs/scheduling/src/group_work.cpp
@@ -1,4 +1,4 @@
-#include <relay/group_work.h>
+#include <scheduling/group_work.h>
 
 #include <algorithm>
 
--- a/libs/relay/src/permit_allocator.cpp
+++ b/libs/scheduling/src/permit_allocator.cpp
@@ -1,6 +1,6 @@
-#include <relay/permit_allocator.h>
+#include <scheduling/permit_allocator.h>
 
-#include "request_hash.h"
+#include <scheduling/request_hash.h>
 
 namespace pollen {
 
--- a/libs/relay/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -1,4 +1,4 @@
-#include <relay/placement.h>
+#include <scheduling/placement.h>
 
 #include <algorithm>
 #include <array>
--- a/libs/relay/src/server_rate_limits.cpp
+++ b/libs/scheduling/src/server_rate_limits.cpp
@@ -1,4 +1,4 @@
-#include <relay/server_rate_limits.h>
+#include <scheduling/server_rate_limits.h>
 
 #include <algorithm>
 
--- a/libs/relay/src/work_view.cpp
+++ b/libs/scheduling/src/work_view.cpp
@@ -1,4 +1,4 @@
-#include <relay/work_view.h>
+#include <scheduling/work_view.h>
 
 #include <algorithm>
 
--- a/libs/relay/tests/fleet_retry_budget_test.cpp
+++ b/libs/scheduling/tests/fleet_retry_budget_test.cpp
@@ -1,7 +1,7 @@
 #include <deque>
 #include <gtest/gtest.h>
 #include <random>
-#include <relay/fleet_retry_budget.h>
+#include <scheduling/fleet_retry_budget.h>
 
 namespace pollen {
 
--- a/libs/relay/tests/group_work_test.cpp
+++ b/libs/scheduling/tests/group_work_test.cpp
@@ -1,7 +1,7 @@
 #include <gtest/gtest.h>
 #include <random>
-#include <relay/group_work.h>
-#include <relay/work_view.h>
+#include <scheduling/group_work.h>
+#include <scheduling/work_view.h>
 
 namespace pollen {
 
--- a/libs/relay/tests/permit_allocator_test.cpp
+++ b/libs/scheduling/tests/permit_allocator_test.cpp
@@ -1,7 +1,7 @@
 #include "limit_rule.h"
 
 #include <gtest/gtest.h>
-#include <relay/permit_allocator.h>
+#include <scheduling/permit_allocator.h>
 
 namespace pollen {
 
--- a/libs/relay/tests/placement_test.cpp
+++ b/libs/scheduling/tests/placement_test.cpp
@@ -1,5 +1,5 @@
 #include <gtest/gtest.h>
-#include <relay/placement.h>
+#include <scheduling/placement.h>
 #include <set>
 
 namespace pollen {
--- a/libs/relay/tests/server_rate_limits_test.cpp
+++ b/libs/scheduling/tests/server_rate_limits_test.cpp
@@ -1,5 +1,5 @@
 #include <gtest/gtest.h>
-#include <relay/server_rate_limits.h>
+#include <scheduling/server_rate_limits.h>
 
 namespace pollen {
 
