Evacuate failure domains, and send to cold servers by permit only

Cause: nothing read the orders to evacuate a failure domain, so requests went on to its servers for as long as an order stood. Nothing read how long a server is cold, so all daemons chose returning servers, which look idle, and these fell over. Change: evacuation_system marks the servers of the domains under an order; placement, trials of roll-outs and the wait for capacity leave them out. warm_up_table keeps the newest statement of entries, answers and refused connections; a cold server counts as one with a rate limit, so that the permits of docs/design/server-limits.md cover it. Statements that other daemons cannot read in the store travel with the messages between daemons. What an answer says of its server is recorded by a unit of its own.

--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -24,8 +24,11 @@
 constexpr const char* peerSecret = "pollenroute";
 // Prefixes of the messages between daemons. The prefix changes with the format, so that daemons of two releases give
 // each other no answer and read the store instead.
-constexpr const char* fleetSyncChannel = "sync-4:";
-constexpr const char* permitChannel = "permit:";
+constexpr const char* fleetSyncChannel = "sync-5:";
+constexpr const char* permitChannel = "permit-2:";
+// Share of what a cold server may get beyond its rate that permits may use at once. The rest covers permits that are
+// used late or whose connection takes long.
+constexpr double burstShareOfSlack = 0.5;
 // Within the 32 MB that the users give a daemon for control; the smallest instance of today has 88 MB.
 constexpr size_t answerMemoryBytes = 16U << 20;
 constexpr double logLinesPerSecond = 10;
@@ -53,6 +56,8 @@
 platform_relay::platform_relay(event_loop& loop, const node_settings& settings, logger& log, const clock& time)
     : m_log(log)
     , m_time(time)
+    , m_coldOvershoot(settings.coldOvershoot)
+    , m_coldSlack(settings.coldSlack)
     , m_random(std::random_device()())
     , m_client(loop)
     , m_probe(loop)
@@ -64,6 +69,7 @@
     , m_crashes(settings.id)
     , m_crashSharing(m_crashes, m_store, time, log)
     , m_rateLimits(m_random)
+    , m_evacuations(m_state.servers(), m_rateLimits.warmUps(), log)
     , m_exchange(loop, settings.peers, peerSecret, log)
     , m_channels(m_exchange)
     , m_sharing({ settings.id, settings.failureDomain }, syncLimits(settings), m_store, m_state.servers(),
@@ -88,6 +94,7 @@
 
 void platform_relay::tick(time_point now)
 {
+    m_rateLimits.warmUps().removeWarm(now);
     m_sharing.tick(now);
     m_permits.tick(now);
     m_rolloutSystem.tick(now);
@@ -106,7 +113,8 @@
 std::string platform_relay::renderMetrics()
 {
     m_metrics.setGauges(m_state.configurationAge(m_time.now()), m_gateway.openRequests(),
-        m_crashes.countQuarantined(m_time.wallMilliseconds()));
+        m_crashes.countQuarantined(m_time.wallMilliseconds()), m_rateLimits.warmUps().size(),
+        m_evacuations.domains().size());
     return m_metrics.render();
 }
 
@@ -114,8 +122,11 @@
 {
     const uint64_t version = configuration.version;
     const size_t routes = configuration.routes.size();
+    const std::map<service_name, warm_up_rule> rules = warmUpRules(configuration);
     const bool installed = m_state.install(std::move(configuration));
     m_isConfigurationNew = m_isConfigurationNew || installed;
+    if (installed)
+        m_rateLimits.warmUps().setRules(rules);
     m_log.write(log_level::Info, "configuration",
         { { "version", version }, { "routes", static_cast<int64_t>(routes) },
             { "outcome", installed ? "in_force" : "older_than_in_force" },
@@ -133,6 +144,26 @@
             { "upstream", m_sharing.upstream().text() } });
 }
 
+std::map<service_name, warm_up_rule> platform_relay::warmUpRules(const relay_configuration& configuration) const
+{
+    std::map<service_name, warm_up_rule> rules;
+    for (const relay_service& service : configuration.services) {
+        if (service.warmUpTime <= duration(0) || service.coldRequestsPerSecond <= 0)
+            continue;
+        const double rate = service.coldRequestsPerSecond;
+        const double burst = (rate * (m_coldOvershoot - 1) + m_coldSlack) * burstShareOfSlack;
+        rules[service.name] = { service.warmUpTime, rate, std::max(burst, 1.0) };
+    }
+    return rules;
+}
+
+void platform_relay::onServerEntry(const listed_server& server)
+{
+    if (server.coldLeftUnreadable)
+        m_log.write(log_level::Warning, "server_warm_up_unreadable", { { "server", server.entry.id.text() } });
+    m_rateLimits.warmUps().recordEntry(server.entry.id, server.entry.service, server.coldLeft, m_time.now());
+}
+
 void platform_relay::onServers(const std::vector<listed_server>& list)
 {
     m_state.servers().replaceListed(list);
--- a/apps/pollenrouted/platform_relay.h
+++ b/apps/pollenrouted/platform_relay.h
@@ -7,6 +7,7 @@
 #include <peer/tcp_state_exchange.h>
 #include <relay/fleet_sync.h>
 #include <relay/relay_gateway.h>
+#include <scheduling/evacuation_system.h>
 
 namespace pollen {
 
@@ -29,6 +30,11 @@
     void onConfiguration(relay_configuration configuration) override;
     void onConfigurationKnown(time_point asOf) override;
     void onServers(const std::vector<listed_server>& list) override;
+    void onServerEntry(const listed_server& server) override;
+    void onEvacuations(const std::set<failure_domain_name>& domains) override
+    {
+        m_evacuations.setDomains(domains, m_time.now());
+    }
     void onRolloutOrder(const rollout_order& order) override { m_rollouts.applyOrder(order, m_time.now()); }
     void onRolloutStatus(const rollout_status& status) override { m_rollouts.applyStatus(status); }
     void onCrashReport(const crash_report& report) override { m_crashes.merge(report, true); }
@@ -38,8 +44,14 @@
         m_rolloutSystem.receiveGroupReport(report, m_time.now());
     }
 
+    // What the cold servers of each service bear, by the configuration and the platform's bounds.
+    std::map<service_name, warm_up_rule> warmUpRules(const relay_configuration& configuration) const;
+
     logger& m_log;
     const clock& m_time;
+    // See node_settings.
+    double m_coldOvershoot;
+    double m_coldSlack;
     random_source m_random;
     http_client m_client;
     connection_probe m_probe;
@@ -50,6 +62,7 @@
     crash_table m_crashes;
     crash_publisher m_crashSharing;
     server_rate_limits m_rateLimits;
+    evacuation_system m_evacuations;
     tcp_state_exchange m_exchange;
     exchange_channels m_channels;
     fleet_sync m_sharing;
--- a/libs/fleet/include/fleet/server_table.h
+++ b/libs/fleet/include/fleet/server_table.h
@@ -6,6 +6,7 @@
 #include <fleet/handles.h>
 #include <fleet/server_statements.h>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -18,6 +19,10 @@
     bool leaving = false;
     // Start of the server process, Unix time; 0 if the list does not state it.
     int64_t processStartMilliseconds = 0;
+    // How much longer the server is cold, at the time of the entry; none if the entry does not state it.
+    std::optional<duration> coldLeft {};
+    // The entry states a remaining time that cannot be read.
+    bool coldLeftUnreadable = false;
 
     friend bool operator==(const listed_server&, const listed_server&) = default;
 };
@@ -28,6 +33,8 @@
     // False for a free slot.
     bool used = false;
     bool leaving = false;
+    // The server's failure domain is being evacuated; it must get no new requests.
+    bool evacuated = false;
     // Copied from listed_server.
     int64_t processStartMilliseconds = 0;
     // Requests of this daemon in flight on the server.
@@ -49,7 +56,9 @@
     time_point notBefore {};
 
     // Whether a new request may be sent to the server now, whatever kind of request it is.
-    bool isAvailable(time_point now) const { return used && !leaving && now >= unavailableUntil && now >= notBefore; }
+    bool isAvailable(time_point now) const { return mayGetRequests() && now >= unavailableUntil && now >= notBefore; }
+    // Whether new requests may be sent to the server at all.
+    bool mayGetRequests() const { return used && !leaving && !evacuated; }
     // Takes the greater count for other daemons, because their own reports may be newer than the server's load report.
     uint32_t outstanding() const { return ownRequests + std::max(otherRequests, peerRequests); }
     double slowdown(time_point now) const { return now < slowdownUntil ? reportedSlowdown : 1; }
@@ -65,6 +74,9 @@
     // Frees the rows of unlisted servers that have no requests of this daemon.
     void sweep();
 
+    // Sets the failure domains whose servers must get no new requests, of those listed now and later.
+    void setEvacuatedDomains(std::set<failure_domain_name> domains);
+
     // Returns nothing if the server has no row.
     std::optional<server_handle> find(const instance_id& id) const;
     // Whether the last list contained the server.
@@ -94,8 +106,8 @@
     // also while the list says otherwise. Both return false if this was known.
     bool reportLeaving(server_handle server);
     bool reportNotBefore(server_handle server, time_point notBefore);
-    // The earliest time at which a server of the service that is not leaving takes requests again; none if there is no
-    // such server.
+    // The earliest time at which a server of the service that is neither leaving nor evacuated takes requests again;
+    // none if there is no such server.
     std::optional<time_point> earliestReturn(const service_name& service) const;
     // Makes the server unavailable for a back-off that doubles with each consecutive failure. Failures during a
     // back-off do not count again.
@@ -110,6 +122,7 @@
     void applyStatements(server_row& row) const;
 
     server_statements m_statements;
+    std::set<failure_domain_name> m_evacuatedDomains;
     std::vector<server_row> m_rows;
     std::vector<bool> m_listed;
     std::unordered_map<instance_id, server_handle> m_byId;
--- a/libs/fleet/src/server_table.cpp
+++ b/libs/fleet/src/server_table.cpp
@@ -30,6 +30,7 @@
         }
         row.entry = listed.entry;
         row.leaving = listed.leaving;
+        row.evacuated = m_evacuatedDomains.contains(row.entry.failureDomain);
         row.processStartMilliseconds = listed.processStartMilliseconds;
         applyStatements(row);
         m_listed[target.index] = true;
@@ -41,6 +42,13 @@
     sweep();
 }
 
+void server_table::setEvacuatedDomains(std::set<failure_domain_name> domains)
+{
+    m_evacuatedDomains = std::move(domains);
+    for (server_row& row : m_rows)
+        row.evacuated = row.used && m_evacuatedDomains.contains(row.entry.failureDomain);
+}
+
 void server_table::sweep()
 {
     for (size_t i = 0; i < m_rows.size(); ++i) {
@@ -129,7 +137,7 @@
 {
     std::optional<time_point> earliest;
     for (const server_row& row : m_rows) {
-        if (!row.used || row.leaving || row.entry.service != service)
+        if (!row.mayGetRequests() || row.entry.service != service)
             continue;
         const time_point returns = std::max(row.unavailableUntil, row.notBefore);
         earliest = earliest ? std::min(*earliest, returns) : returns;
--- a/libs/relay/include/relay/fleet_sync_message.h
+++ b/libs/relay/include/relay/fleet_sync_message.h
@@ -40,6 +40,8 @@
     crash_state knownCrashes;
     // The rate limits that servers have named, as far as the sender knows.
     std::vector<rate_limit_notice> rateLimits;
+    // Cold servers, as far as the sender knows them other than from their entries.
+    std::vector<warm_up_notice> warmUps {};
 
     friend bool operator==(const fleet_sync_request&, const fleet_sync_request&) = default;
 };
@@ -61,6 +63,8 @@
     crash_state knownCrashes;
     // The rate limits that servers have named, as far as the group knows.
     std::vector<rate_limit_notice> rateLimits;
+    // As in the request.
+    std::vector<warm_up_notice> warmUps {};
 
     friend bool operator==(const fleet_sync_reply&, const fleet_sync_reply&) = default;
 };
--- a/libs/relay/include/relay/permit_message.h
+++ b/libs/relay/include/relay/permit_message.h
@@ -20,6 +20,8 @@
     std::vector<instance_id> servers;
     // The limits of these servers that the sender knows.
     std::vector<rate_limit_notice> rateLimits;
+    // What the sender knows of cold servers among them other than from their entries.
+    std::vector<warm_up_notice> warmUps {};
 
     friend bool operator==(const permit_request&, const permit_request&) = default;
 };
--- a/libs/relay/include/relay/relay_metrics.h
+++ b/libs/relay/include/relay/relay_metrics.h
@@ -30,7 +30,7 @@
     // A server may have crashed while it ran a request. sign: the symptom, such as a lost connection. verdict: the
     // result of the check.
     void countServerCrash(const std::string& service, const std::string& sign, const std::string& verdict);
-    // statement: "leaving", "pause" or "unreadable".
+    // statement: "leaving", "pause", "cold" or "unreadable".
     void countServerStatement(const std::string& service, const std::string& statement);
     // A server's run of a stream has ended and is not whole, for this reason.
     void countBrokenStream(const std::string& service, const std::string& reason);
@@ -40,7 +40,9 @@
     void observeFirstByte(const std::string& route, const std::string& team, duration latency);
     // Updates the gauges before they are rendered. configurationAge: time since the configuration was last confirmed to
     // be the newest. quarantined: requests that are no longer sent to any server because servers crashed running them.
-    void setGauges(duration configurationAge, size_t openRequests, size_t quarantined);
+    // coldServers: see warm_up_table. evacuatedDomains: failure domains that get no new requests.
+    void setGauges(duration configurationAge, size_t openRequests, size_t quarantined, size_t coldServers,
+        size_t evacuatedDomains);
 
     // Prometheus text format.
     std::string render() const;
@@ -61,6 +63,8 @@
     prometheus::Gauge& m_configurationAge;
     prometheus::Gauge& m_openRequests;
     prometheus::Gauge& m_quarantined;
+    prometheus::Gauge& m_coldServers;
+    prometheus::Gauge& m_evacuatedDomains;
 };
 
 } // namespace pollen
--- a/libs/relay/include/relay/relay_protocol.h
+++ b/libs/relay/include/relay/relay_protocol.h
@@ -70,6 +70,10 @@
     std::optional<duration> pause;
     // The server states a pause that cannot be read.
     bool pauseUnreadable = false;
+    // How much longer the server is cold.
+    std::optional<duration> coldLeft {};
+    // The server states a remaining time that cannot be read.
+    bool coldLeftUnreadable = false;
 
     friend bool operator==(const answer_traits&, const answer_traits&) = default;
 };
--- a/libs/relay/src/fleet_sync.cpp
+++ b/libs/relay/src/fleet_sync.cpp
@@ -392,6 +392,7 @@
     request.crashes = crashesFor(crashes.knownByPeer, reporters);
     request.knownCrashes = crashes.knownHere;
     request.rateLimits = m_rateLimits.notices(now);
+    request.warmUps = m_rateLimits.warmUps().notices(now);
     m_lastQueried = peer.id;
     const uint64_t number = ++m_requestNumber;
     m_pending.push_back({ number, peer, now, isMember, request.acceptsLarge, request.work });
@@ -477,6 +478,8 @@
     readOmitted(reply, now);
     for (const rate_limit_notice& notice : reply.rateLimits)
         m_rateLimits.merge(notice, request.sentAt);
+    for (const warm_up_notice& notice : reply.warmUps)
+        m_rateLimits.warmUps().merge(notice, request.sentAt);
     if (request.isMember) {
         for (const rollout_report& total : reply.totals)
             m_rollouts.receiveTotalReport(total, now);
@@ -617,6 +620,8 @@
         reply.knownCrashes = request.crashes.state;
         for (const rate_limit_notice& notice : request.rateLimits)
             m_rateLimits.merge(notice, now);
+        for (const warm_up_notice& notice : request.warmUps)
+            m_rateLimits.warmUps().merge(notice, now);
         if (request.isMember) {
             m_groupWork.report(request.sender, request.work, now);
             reply.totals = m_rollouts.totalReports(now);
@@ -626,6 +631,7 @@
         }
         reply.crashes = crashesFor(request.knownCrashes, crash_table::reporters::All);
         reply.rateLimits = m_rateLimits.notices(now);
+        reply.warmUps = m_rateLimits.warmUps().notices(now);
         std::string encoded = encodeFleetSyncReply(reply);
         lap.addTo(m_load.coding);
         m_load.replyBytes += encoded.size();
--- a/libs/relay/src/fleet_sync_message.cpp
+++ b/libs/relay/src/fleet_sync_message.cpp
@@ -85,13 +85,13 @@
 template <typename Archive> void serialize(Archive& archive, fleet_sync_request& request)
 {
     archive(request.topics, request.sender, request.isMember, request.acceptsLarge, request.reports, request.work,
-        request.knownWork, request.crashes, request.knownCrashes, request.rateLimits);
+        request.knownWork, request.crashes, request.knownCrashes, request.rateLimits, request.warmUps);
 }
 
 template <typename Archive> void serialize(Archive& archive, fleet_sync_reply& reply)
 {
     archive(reply.hasLostStore, reply.changes, reply.totals, reply.work, reply.crashes, reply.knownCrashes,
-        reply.rateLimits);
+        reply.rateLimits, reply.warmUps);
 }
 
 std::string encodeFleetSyncRequest(const fleet_sync_request& request) { return encodeMessage(request); }
--- a/libs/relay/src/message_codec.h
+++ b/libs/relay/src/message_codec.h
@@ -29,6 +29,11 @@
     archive(notice.server, notice.statement, notice.limit, notice.age);
 }
 
+template <typename Archive> void serialize(Archive& archive, warm_up_notice& notice)
+{
+    archive(notice.server, notice.service, notice.statement, notice.left, notice.age);
+}
+
 template <typename Message> std::string encodeMessage(const Message& message)
 {
     std::ostringstream stream;
--- a/libs/relay/src/permit_message.cpp
+++ b/libs/relay/src/permit_message.cpp
@@ -6,7 +6,7 @@
 
 template <typename Archive> void serialize(Archive& archive, permit_request& request)
 {
-    archive(request.sender, request.isMember, request.servers, request.rateLimits);
+    archive(request.sender, request.isMember, request.servers, request.rateLimits, request.warmUps);
 }
 
 template <typename Archive> void serialize(Archive& archive, permit_reply& reply)
--- a/libs/relay/src/permit_system.cpp
+++ b/libs/relay/src/permit_system.cpp
@@ -242,7 +242,8 @@
     const listed_peer& peer, const std::vector<instance_id>& servers, std::optional<uint64_t> request, time_point now)
 {
     const auto allocator = allocatorOf(m_self.failureDomain);
-    permit_request message { m_self.id, allocator && allocator->id == peer.id, servers, {} };
+    permit_request message { m_self.id, allocator && allocator->id == peer.id, servers, {},
+        m_limits.warmUps().noticesOf(servers, now) };
     for (const rate_limit_notice& notice : m_limits.notices(now)) {
         if (std::find(servers.begin(), servers.end(), notice.server) != servers.end())
             message.rateLimits.push_back(notice);
@@ -332,6 +333,8 @@
         const permit_request request = decodePermitRequest(bytes);
         for (const rate_limit_notice& notice : request.rateLimits)
             m_limits.merge(notice, now);
+        for (const warm_up_notice& notice : request.warmUps)
+            m_limits.warmUps().merge(notice, now);
         if (m_daemons.empty())
             updateDaemons();
         if (request.isMember)
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -1,5 +1,6 @@
 #include "relay_exchange.h"
 
+#include "answer_statements.h"
 #include "request_target.h"
 #include <scheduling/request_hash.h>
 
@@ -243,7 +244,7 @@
 
 bool relay_exchange::hasRateLimit(server_handle server) const
 {
-    return m_dependencies.rateLimits.find(m_dependencies.state.servers().row(server).entry.id).has_value();
+    return m_dependencies.rateLimits.limitOf(m_dependencies.state.servers().row(server).entry.id).has_value();
 }
 
 void relay_exchange::excludeLimitedServers(placement_request& placement) const
@@ -371,7 +372,7 @@
     if (m_countsAsNonTarget)
         m_dependencies.rolloutSystem.addOtherVersionRequest(m_service);
     m_dependencies.metrics.countSend(m_service.text());
-    if (m_dependencies.rateLimits.find(m_serverId))
+    if (m_dependencies.rateLimits.limitOf(m_serverId))
         m_dependencies.metrics.countLimitedSend(m_service.text());
     forwarding_parameters order;
     order.server = m_serverId;
@@ -418,8 +419,7 @@
         servers.reportFailure(*m_server, now);
         m_dependencies.servers.forget(m_serverId);
     }
-    recordRateLimit(now);
-    recordStatements(now);
+    recordStatements(m_dependencies, { *m_server, m_serverId, m_service, m_traits.id, m_sentAt }, m_answer, now);
     const bool claimsNotRun = claimsRefusal();
     // Without the id, the answer may have been written before the server read the request.
     m_isRefusal = claimsNotRun && findHeader(headers, m_dependencies.protocol.requestIdHeader()) == m_traits.id.text();
@@ -450,49 +450,6 @@
         m_headers = m_dependencies.protocol.makeCallerHeaders(headers);
 }
 
-void relay_exchange::recordRateLimit(time_point now)
-{
-    // A misdirected request was answered by another server, and a server that is too busy to run a request has not
-    // ended its limit.
-    if (m_answer.misdirected || (m_answer.notRun && !m_answer.rateLimit && !m_answer.rateLimitUnreadable))
-        return;
-    if (m_answer.rateLimitUnreadable) {
-        m_dependencies.log.write(log_level::Warning, "server_limit_unreadable",
-            { { "server", m_serverId.text() }, { "request", m_traits.id.text() } });
-        return;
-    }
-    const auto previous = m_dependencies.rateLimits.find(m_serverId);
-    if (m_dependencies.rateLimits.recordAnswer(m_serverId, m_answer.rateLimit, m_sentAt, now))
-        m_dependencies.log.write(log_level::Info, "server_limit",
-            { { "server", m_serverId.text() }, { "service", m_service.text() }, { "request", m_traits.id.text() },
-                { "previous", previous.value_or(0) }, { "limit", m_answer.rateLimit.value_or(0) },
-                { "named", m_answer.rateLimit.has_value() } });
-}
-
-// A misdirected request was answered by another server than the one that the row stands for.
-void relay_exchange::recordStatements(time_point now)
-{
-    if (m_answer.misdirected)
-        return;
-    server_table& servers = m_dependencies.state.servers();
-    if (m_answer.leaving && servers.reportLeaving(*m_server)) {
-        m_dependencies.metrics.countServerStatement(m_service.text(), "leaving");
-        m_dependencies.log.write(log_level::Info, "server_leaving",
-            { { "server", m_serverId.text() }, { "service", m_service.text() }, { "request", m_traits.id.text() } });
-    }
-    if (m_answer.pauseUnreadable) {
-        m_dependencies.metrics.countServerStatement(m_service.text(), "unreadable");
-        m_dependencies.log.write(log_level::Warning, "server_pause_unreadable",
-            { { "server", m_serverId.text() }, { "request", m_traits.id.text() } });
-    }
-    if (m_answer.pause && servers.reportNotBefore(*m_server, now + *m_answer.pause)) {
-        m_dependencies.metrics.countServerStatement(m_service.text(), "pause");
-        m_dependencies.log.write(log_level::Info, "server_pause",
-            { { "server", m_serverId.text() }, { "service", m_service.text() }, { "request", m_traits.id.text() },
-                { "ms", toMilliseconds(*m_answer.pause) } });
-    }
-}
-
 // Sends the request to the largest model if the current model reports low confidence, nothing of its answer has been
 // forwarded, and the largest model is expected to begin within the latency objective and to finish before the deadline.
 bool relay_exchange::tryEscalation()
@@ -778,6 +735,8 @@
     const time_point now = m_dependencies.time.now();
     const bool timedOut = result.failure == exchange_failure::TimedOut;
     server_table& servers = m_dependencies.state.servers();
+    if (result.failure == exchange_failure::ConnectFailed && result.refused)
+        m_dependencies.rateLimits.warmUps().recordRefusedConnection(m_serverId, m_service, now);
     if (result.failure == exchange_failure::ConnectFailed)
         servers.reportUnreachable(*m_server, now);
     else
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -70,10 +70,6 @@
     // The caller's estimate of the tokens to be generated, or else their maximum.
     uint32_t expectedTokens() const;
     void recordAnswerPace();
-    // Records the rate limit that the server names in its answer, or that it names none.
-    void recordRateLimit(time_point now);
-    // Records what the server says of itself in its answer: that it leaves, or that it wants no requests for a time.
-    void recordStatements(time_point now);
     // Time until a server of the request's service takes requests again, as far as servers have said.
     duration serverPause() const;
 
--- a/libs/relay/src/relay_metrics.cpp
+++ b/libs/relay/src/relay_metrics.cpp
@@ -71,6 +71,16 @@
                         .Help("Requests that are sent to no server because servers ended under them")
                         .Register(m_registry)
                         .Add({}))
+    , m_coldServers(prometheus::BuildGauge()
+                        .Name("pollen_relay_cold_servers")
+                        .Help("Servers that are cold and get requests by permit only")
+                        .Register(m_registry)
+                        .Add({}))
+    , m_evacuatedDomains(prometheus::BuildGauge()
+                             .Name("pollen_relay_evacuated_domains")
+                             .Help("Failure domains whose servers get no new requests by the operators' order")
+                             .Register(m_registry)
+                             .Add({}))
 {
 }
 
@@ -80,11 +90,14 @@
     m_outcomes.Add({ { "route", route }, { "team", team }, { "outcome", outcome }, { "reason", reason } }).Increment();
 }
 
-void relay_metrics::setGauges(duration configurationAge, size_t openRequests, size_t quarantined)
+void relay_metrics::setGauges(
+    duration configurationAge, size_t openRequests, size_t quarantined, size_t coldServers, size_t evacuatedDomains)
 {
     m_configurationAge.Set(toSeconds(configurationAge));
     m_openRequests.Set(static_cast<double>(openRequests));
     m_quarantined.Set(static_cast<double>(quarantined));
+    m_coldServers.Set(static_cast<double>(coldServers));
+    m_evacuatedDomains.Set(static_cast<double>(evacuatedDomains));
 }
 
 void relay_metrics::countSend(const std::string& service) { m_sends.Add({ { "service", service } }).Increment(); }
--- a/libs/scheduling/include/scheduling/permit_allocator.h
+++ b/libs/scheduling/include/scheduling/permit_allocator.h
@@ -17,8 +17,7 @@
 
 // Grants permits for requests to servers that have named a rate limit. Each failure domain owns a fixed share of each
 // limit, so that the shares add up to the limit whichever domains reach each other; one daemon of the domain allocates
-// it. Unused permits accumulate to a number that keeps any burst of all domains together within a second's worth and
-// four requests.
+// it. Unused permits accumulate to the burst of the limit, for all domains together.
 class permit_allocator {
 public:
     // domain: the failure domain whose share is allocated.
@@ -52,7 +51,7 @@
     };
 
     // Limits of a few requests a second are shared by as many domains only as can hold one permit each.
-    share shareOf(const instance_id& server, double limit) const;
+    share shareOf(const instance_id& server, const send_limit& limit) const;
 
     failure_domain_name m_domain;
     const server_rate_limits& m_limits;
--- a/libs/scheduling/include/scheduling/relay_service.h
+++ b/libs/scheduling/include/scheduling/relay_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <base/clock.h>
 #include <base/typed_id.h>
 #include <cstdint>
 #include <optional>
@@ -20,6 +21,10 @@
     // Connections that one server accepts, summed over all daemons.
     uint32_t maximumConnections = 0;
     std::optional<engine_limits> engine;
+    // How long a server is cold after its start, and the requests a second that it takes meanwhile from all daemons
+    // together; zero for a service without a warm-up.
+    duration warmUpTime { 0 };
+    double coldRequestsPerSecond = 0;
 
     friend bool operator==(const relay_service&, const relay_service&) = default;
 };
--- a/libs/scheduling/include/scheduling/server_rate_limits.h
+++ b/libs/scheduling/include/scheduling/server_rate_limits.h
@@ -5,6 +5,7 @@
 #include <base/typed_id.h>
 #include <fleet/server_table.h>
 #include <optional>
+#include <scheduling/warm_up_table.h>
 #include <unordered_map>
 #include <vector>
 
@@ -24,14 +25,28 @@
     friend bool operator==(const rate_limit_notice&, const rate_limit_notice&) = default;
 };
 
-// The rate limits that servers have named, from answers to this daemon and from notices of other daemons.
+// What a server takes from all daemons together.
+struct send_limit {
+    double requestsPerSecond = 0;
+    // Permits that all daemons together may hold unused.
+    double burst = 0;
+
+    friend bool operator==(const send_limit&, const send_limit&) = default;
+};
+
+// The rate limits that servers have named, from answers to this daemon and from notices of other daemons, and those of
+// servers that are cold. Where both apply, the lower one counts.
 class server_rate_limits {
 public:
     explicit server_rate_limits(random_source& random)
         : m_random(random)
+        , m_warmUps(random)
     {
     }
 
+    warm_up_table& warmUps() { return m_warmUps; }
+    const warm_up_table& warmUps() const { return m_warmUps; }
+
     // Records the limit named in an answer that arrived now, or that the answer names none. sentAt: when the request
     // was sent. An answer without a limit ends a known limit only if its request was sent after that limit was last
     // named, because answers overtake each other. Returns whether the limit has changed.
@@ -41,10 +56,13 @@
     // too late by more than the time on the way. Returns whether the limit has changed.
     bool merge(const rate_limit_notice& notice, time_point receivedAt);
 
-    // Requests a second; none if the server has named no limit.
+    // Requests a second that the server has named; none if it has named no limit.
     std::optional<double> find(const instance_id& server) const;
 
-    bool empty() const { return m_statements.empty(); }
+    // None if the server is warm and has named no limit.
+    std::optional<send_limit> limitOf(const instance_id& server) const;
+
+    bool empty() const { return m_statements.empty() && m_warmUps.empty(); }
 
     // The last statements, for other daemons; includes limits that ended recently.
     std::vector<rate_limit_notice> notices(time_point now) const;
@@ -61,6 +79,7 @@
     };
 
     random_source& m_random;
+    warm_up_table m_warmUps;
     std::unordered_map<instance_id, statement> m_statements;
 };
 
--- a/libs/scheduling/src/permit_allocator.cpp
+++ b/libs/scheduling/src/permit_allocator.cpp
@@ -6,35 +6,30 @@
 
 namespace {
 
-// A server that takes nothing still gets a request now and then; only an answer shows that its limit has changed.
-constexpr double minimumRequestsPerSecond = 0.1;
-// Permits that all domains together may hold in addition to those of one second.
-constexpr double additionalPermits = 4;
 // Reported while the domain has no share or no permit is due soon.
 constexpr duration maximumWait = std::chrono::seconds(2);
 
 } // namespace
 
-permit_allocator::share permit_allocator::shareOf(const instance_id& server, double limit) const
+permit_allocator::share permit_allocator::shareOf(const instance_id& server, const send_limit& limit) const
 {
-    const double rate = std::max(limit, minimumRequestsPerSecond);
     const auto weight = [&](const failure_domain_name& domain) { return hashOf(domain.text(), hashOf(server.text())); };
     const uint64_t ownWeight = weight(m_domain);
     const auto rank = static_cast<size_t>(std::count_if(m_domains.begin(), m_domains.end(),
         [&](const failure_domain_name& domain) { return domain != m_domain && weight(domain) > ownWeight; }));
-    const auto mostSharing = static_cast<size_t>(std::min(rate + additionalPermits, 1e6));
+    const auto mostSharing = std::max<size_t>(static_cast<size_t>(std::min(limit.burst, 1e6)), 1);
     const size_t sharing = std::min(std::max<size_t>(m_domains.size(), 1), mostSharing);
     if (rank >= sharing)
         return {};
     const auto parts = static_cast<double>(sharing);
-    return { rate / parts * m_part, (rate + additionalPermits) / parts };
+    return { limit.requestsPerSecond / parts * m_part, limit.burst / parts };
 }
 
 permit_decision permit_allocator::take(const std::vector<instance_id>& servers, time_point now)
 {
     duration wait = maximumWait;
     for (const instance_id& server : servers) {
-        const auto limit = m_limits.find(server);
+        const auto limit = m_limits.limitOf(server);
         if (!limit)
             return { server, duration(0) };
         token_bucket& bucket = m_buckets.try_emplace(server, now).first->second;
@@ -52,7 +47,7 @@
 
 void permit_allocator::removeUnlimited()
 {
-    std::erase_if(m_buckets, [&](const auto& item) { return !m_limits.find(item.first); });
+    std::erase_if(m_buckets, [&](const auto& item) { return !m_limits.limitOf(item.first); });
 }
 
 } // namespace pollen
--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -59,7 +59,7 @@
 
 bool placement::isEligible(const server_row& row, server_handle server, const placement_request& request)
 {
-    if (!row.used || row.leaving || !matchesServiceAndVersion(row, request))
+    if (!row.mayGetRequests() || !matchesServiceAndVersion(row, request))
         return false;
     const auto contains = [&](const std::vector<server_handle>& servers) {
         return std::find(servers.begin(), servers.end(), server) != servers.end();
--- a/libs/scheduling/src/server_rate_limits.cpp
+++ b/libs/scheduling/src/server_rate_limits.cpp
@@ -8,6 +8,10 @@
 
 // All daemons of a failure domain exchange their notices several times within this time.
 constexpr duration endedLimitLifetime = std::chrono::seconds(5);
+// A server that takes nothing still gets a request now and then; only an answer shows that its limit has changed.
+constexpr double minimumRequestsPerSecond = 0.1;
+// Permits that all daemons together may hold in addition to those of one second.
+constexpr double additionalPermits = 4;
 
 } // namespace
 
@@ -41,6 +45,19 @@
     return known == m_statements.end() ? std::nullopt : known->second.limit;
 }
 
+std::optional<send_limit> server_rate_limits::limitOf(const instance_id& server) const
+{
+    std::optional<send_limit> limit;
+    if (const auto named = find(server)) {
+        const double rate = std::max(*named, minimumRequestsPerSecond);
+        limit = send_limit { rate, rate + additionalPermits };
+    }
+    const auto cold = m_warmUps.find(server);
+    if (cold && (!limit || cold->requestsPerSecond < limit->requestsPerSecond))
+        limit = send_limit { cold->requestsPerSecond, cold->burst };
+    return limit;
+}
+
 std::vector<rate_limit_notice> server_rate_limits::notices(time_point now) const
 {
     std::vector<rate_limit_notice> notices;
@@ -52,6 +69,7 @@
 
 void server_rate_limits::removeExpired(const server_table& servers, time_point now)
 {
+    m_warmUps.removeUnlisted(servers);
     std::erase_if(m_statements, [&](const auto& item) {
         const auto& [server, known] = item;
         const bool isInForce = known.limit && servers.isListed(server);
--- /dev/null
+++ b/libs/scheduling/tests/warm_up_table_test.cpp
@@ -0,0 +1,142 @@
+#include <deque>
+#include <gtest/gtest.h>
+#include <scheduling/permit_allocator.h>
+
+namespace pollen {
+
+namespace {
+
+const instance_id server("s");
+const service_name service("engines");
+const time_point start { std::chrono::seconds(1000) };
+// The figures of a fleet's data sheet: 5.6 requests a second, and in any second at most 1.5 times that and five more.
+constexpr double coldRate = 5.6;
+constexpr double allowedInSecond = coldRate * 1.5 + 5;
+const warm_up_rule rule { std::chrono::seconds(3), coldRate, 3.9 };
+
+duration ms(int64_t count) { return std::chrono::milliseconds(count); }
+
+class WarmUpTableTest : public testing::Test {
+protected:
+    WarmUpTableTest() { m_table.setRules({ { service, rule } }); }
+
+    bool isColdAt(duration after)
+    {
+        m_table.removeWarm(start + after);
+        return m_table.find(server).has_value();
+    }
+
+    random_source m_random { 1 };
+    warm_up_table m_table { m_random };
+};
+
+} // namespace
+
+// Guards against servers that are cold for longer or shorter than the newest statement says, and against statements
+// that exceed what the service allows.
+TEST_F(WarmUpTableTest, TheNewestStatementCounts)
+{
+    m_table.recordEntry(server, service, ms(2000), start);
+    EXPECT_TRUE(isColdAt(ms(1900)));
+    EXPECT_FALSE(isColdAt(ms(2000)));
+    m_table.recordEntry(server, service, ms(3600000), start);
+    EXPECT_TRUE(isColdAt(ms(2900)));
+    EXPECT_FALSE(isColdAt(ms(3000)));
+    EXPECT_TRUE(m_table.recordAnswer(server, service, ms(1000), start + ms(5000)));
+    EXPECT_TRUE(isColdAt(ms(5500)));
+    EXPECT_TRUE(m_table.recordAnswer(server, service, ms(0), start + ms(5600)));
+    EXPECT_FALSE(isColdAt(ms(5600)));
+    EXPECT_FALSE(m_table.recordAnswer(server, service, ms(0), start + ms(5700)));
+}
+
+// Guards against a daemon that starts and takes servers of unknown state for warm ones, and against servers that become
+// cold again because a later entry states nothing.
+TEST_F(WarmUpTableTest, AnUnknownServerIsColdAndAKnownOneStaysAsItIs)
+{
+    m_table.recordEntry(server, service, std::nullopt, start);
+    EXPECT_TRUE(isColdAt(ms(2900)));
+    m_table.recordEntry(server, service, ms(0), start + ms(2950));
+    m_table.recordEntry(server, service, std::nullopt, start + ms(3000));
+    EXPECT_FALSE(isColdAt(ms(3000)));
+}
+
+// Guards against engines that fall over after a restart under their old id: the entry still says that they are warm.
+TEST_F(WarmUpTableTest, AServerThatHasRefusedConnectionsIsColdFromItsNextAnswer)
+{
+    m_table.recordEntry(server, service, ms(0), start);
+    m_table.recordRefusedConnection(server, service, start);
+    EXPECT_TRUE(isColdAt(ms(20000)));
+    m_table.recordReachable(server, start + ms(20000));
+    EXPECT_TRUE(isColdAt(ms(22900)));
+    EXPECT_FALSE(isColdAt(ms(23000)));
+}
+
+// Guards against fleets in which one daemon knows of a cold server and the others send to it freely, and against
+// statements that come back from another daemon and keep a server cold forever.
+TEST_F(WarmUpTableTest, NoticesReachOtherDaemonsOnceAndNewerStatementsWin)
+{
+    warm_up_table other(m_random);
+    other.setRules({ { service, rule } });
+    m_table.recordAnswer(server, service, ms(2000), start);
+    ASSERT_EQ(m_table.notices(start + ms(100)).size(), 1U);
+    other.merge(m_table.notices(start + ms(100)).front(), start + ms(100));
+    EXPECT_TRUE(other.find(server));
+    other.removeWarm(start + ms(2000));
+    EXPECT_FALSE(other.find(server));
+    // The server says that it is warm; the older notice does not bring the warm-up back.
+    m_table.recordAnswer(server, service, ms(3000), start + ms(3000));
+    const warm_up_notice late = m_table.notices(start + ms(3000)).front();
+    other.recordEntry(server, service, ms(0), start + ms(3500));
+    other.merge(late, start + ms(3000));
+    EXPECT_FALSE(other.find(server));
+    // Entries reach every daemon by themselves.
+    other.recordEntry(server, service, ms(1000), start + ms(4000));
+    EXPECT_TRUE(other.notices(start + ms(4000)).empty());
+    EXPECT_EQ(other.noticesOf({ server }, start + ms(4000)).size(), 1U);
+}
+
+// Guards against limits in deployments whose configuration has no warm-up.
+TEST_F(WarmUpTableTest, ServicesWithoutAWarmUpAreNeverCold)
+{
+    m_table.recordEntry(server, service_name("other"), ms(3000), start);
+    m_table.recordRefusedConnection(server, service_name("other"), start);
+    EXPECT_TRUE(m_table.empty());
+}
+
+// Guards against FAILBACK under a crest: every failure domain sends all that it may to a returning server, after an
+// idle time as well.
+TEST_F(WarmUpTableTest, AllDomainsTogetherStayWithinTheRateOfAColdServer)
+{
+    for (const size_t domains : { 1, 3, 4, 6, 12 }) {
+        server_rate_limits limits(m_random);
+        limits.warmUps().setRules({ { service, rule } });
+        limits.warmUps().recordEntry(server, service, ms(3000), start);
+        std::vector<failure_domain_name> names;
+        for (size_t i = 0; i < domains; ++i)
+            names.emplace_back("domain-" + std::to_string(i));
+        std::vector<permit_allocator> allocators;
+        for (const failure_domain_name& name : names) {
+            allocators.emplace_back(name, limits);
+            allocators.back().setDomains(names);
+            allocators.back().take({ server }, start);
+        }
+        std::deque<time_point> second;
+        size_t most = 0;
+        size_t total = 0;
+        for (time_point now = start + ms(500); now < start + ms(3000); now += ms(10)) {
+            for (permit_allocator& allocator : allocators) {
+                while (allocator.take({ server }, now).server) {
+                    second.push_back(now);
+                    ++total;
+                }
+            }
+            while (!second.empty() && now - second.front() >= ms(1000))
+                second.pop_front();
+            most = std::max(most, second.size());
+        }
+        EXPECT_LE(static_cast<double>(most), allowedInSecond) << domains << " domains";
+        EXPECT_GE(static_cast<double>(total), coldRate * 2) << domains << " domains: the rate is not used";
+    }
+}
+
+} // namespace pollen
--- a/standins/tests/platform_store_test.cpp
+++ b/standins/tests/platform_store_test.cpp
@@ -11,6 +11,8 @@
     void onConfiguration(relay_configuration) override { }
     void onConfigurationKnown(time_point) override { }
     void onServers(const std::vector<listed_server>&) override { }
+    void onServerEntry(const listed_server&) override { }
+    void onEvacuations(const std::set<failure_domain_name>&) override { }
     void onRolloutOrder(const rollout_order&) override { }
     void onRolloutStatus(const rollout_status&) override { }
     void onRolloutReport(const rollout_group_report& report) override
