Keep doubtful records when another daemon resends what it carries

Cause: shared_topic::apply() took a tombstone that it had already, resent by another daemon, for a newer record and dropped the record of the restored copy that waited beside it. Daemons that read the copy at the same time dropped each other's, so the entry was never used.

Change: an equal record is ignored. A newer record of an earlier era than the doubtful one no longer drops it; the two are compared instead. Of two doubtful records the later one is kept, and one of an era before the current one is not accepted, as the last copy lacks it.

Evidence: the four new tests of SharedTopicEra fail on the code before and pass now.

--- a/libs/relay/include/relay/shared_topic.h
+++ b/libs/relay/include/relay/shared_topic.h
@@ -34,7 +34,8 @@
     shared_topic(const shared_topic&) = delete;
     shared_topic& operator=(const shared_topic&) = delete;
 
-    // Applies one record; a record that is not newer than the known one of its key is ignored.
+    // Applies one record; a record that is not newer than the known one of its key is ignored, or is doubtful if its
+    // era is later and keys lapse.
     void apply(const topic_record& record);
 
     // Deletes the keys that are not in the set and were last written before the given position of its era.
@@ -79,6 +80,8 @@
     // Whether a record of the copy belongs to a key that had lapsed before the restore.
     bool hadLapsed(const topic_record& record) const;
     void store(const topic_record& record);
+    // Keeps a record that contradicts the known one until it is accepted; of two, the one that was written later.
+    void doubt(const topic_record& record);
     // Insert, replace and erase records together with what is derived from them.
     void put(const topic_record& record);
     void erase(std::map<std::string, topic_record>::iterator position);
@@ -116,7 +119,8 @@
     size_t m_tombstones = 0;
     // Digest of the carried records.
     uint64_t m_carriedDigest = 0;
-    // Records of the current era that contradict carried ones, for topics whose keys lapse.
+    // Records of a later era than the known ones, which they contradict, for topics whose keys lapse. Those of an era
+    // before the current one are not accepted.
     std::map<std::string, topic_record> m_doubtful;
     bool m_isSynced = false;
     log_position m_position;
--- a/libs/relay/src/shared_topic.cpp
+++ b/libs/relay/src/shared_topic.cpp
@@ -59,12 +59,31 @@
         put({ record.key, std::nullopt, last, true });
         existing = m_records.find(record.key);
     }
-    if (existing == m_records.end() || isNewer(record, existing->second)) {
-        m_doubtful.erase(record.key);
-        store(record);
-    } else if (m_lapse && record.position.era > existing->second.position.era) {
-        m_doubtful[record.key] = record;
+    // Daemons send each other carried records that the receiver may have. These say nothing about a doubtful record.
+    if (existing != m_records.end() && record == existing->second)
+        return;
+    if (existing != m_records.end() && !isNewer(record, existing->second)) {
+        if (m_lapse && record.position.era > existing->second.position.era)
+            doubt(record);
+        return;
     }
+    const auto doubtful = m_doubtful.extract(record.key);
+    store(record);
+    if (!doubtful || doubtful.mapped().position.era <= record.position.era)
+        return;
+    // A record of an earlier era does not show that the store has lost the doubtful one.
+    const topic_record& waiting = doubtful.mapped();
+    if (isNewer(waiting, m_records.at(waiting.key)))
+        store(waiting);
+    else
+        doubt(waiting);
+}
+
+void shared_topic::doubt(const topic_record& record)
+{
+    const auto [known, isNew] = m_doubtful.try_emplace(record.key, record);
+    if (!isNew && record.position > known->second.position)
+        known->second = record;
 }
 
 void shared_topic::store(const topic_record& record)
@@ -156,8 +175,12 @@
 
 void shared_topic::acceptDoubtful()
 {
-    for (const auto& [key, record] : std::exchange(m_doubtful, {}))
+    for (const auto& [key, record] : std::exchange(m_doubtful, {})) {
+        // The store was restored once more, and its new copy lacks the record.
+        if (isCarried(record))
+            continue;
         store({ key, record.value, m_position, true });
+    }
 }
 
 void shared_topic::discardTombstones()
--- a/libs/relay/tests/shared_topic_era_test.cpp
+++ b/libs/relay/tests/shared_topic_era_test.cpp
@@ -151,4 +151,83 @@
     EXPECT_EQ(known.listener.values, (contents { { "k", "2" } }));
 }
 
+// Guards against servers that are never used: daemons that read the copy at the same time sent each other tombstones
+// that both had or that were of the era before, and each dropped the record that the copy showed beside its own one.
+TEST(SharedTopicEra, WhatAnotherDaemonCarriesLeavesDoubtfulRecords)
+{
+    struct position_case {
+        const char* what;
+        uint64_t first;
+        uint64_t second;
+    };
+    for (const position_case& item : std::vector<position_case> {
+             { "both have the same tombstone", 8, 8 }, { "the second one has a later tombstone", 8, 12 } }) {
+        known_topic first(lapse);
+        known_topic second(lapse);
+        first.topic.apply({ "dead", "ready", { 1, 7 } });
+        first.topic.markSynced({ 1, item.first }, start);
+        second.topic.markSynced({ 1, item.second }, start);
+        for (known_topic* daemon : { &first, &second }) {
+            daemon->topic.apply({ "new", "ready", { 2, 3 }, true });
+            daemon->topic.markSynced({ 2, 4 }, start);
+        }
+        const topic_change toSecond = *first.topic.changeSince(second.topic.state(), start);
+        first.topic.apply(*second.topic.changeSince(first.topic.state(), start), start);
+        second.topic.apply(toSecond, start);
+        for (known_topic* daemon : { &first, &second }) {
+            EXPECT_FALSE(daemon->listener.values.contains("new")) << item.what;
+            daemon->topic.markSynced({ 2, 4 }, start + lapse.doubtful);
+            EXPECT_TRUE(daemon->listener.values.contains("new")) << item.what;
+        }
+    }
+}
+
+// Guards against the same for a key whose carried record both daemons have dropped, at one position of the new era.
+TEST(SharedTopicEra, TheEndOfAnUnconfirmedRecordLeavesTheDoubtfulOne)
+{
+    known_topic first(lapse);
+    known_topic second(lapse);
+    for (known_topic* daemon : { &first, &second }) {
+        daemon->topic.apply({ "k", "10", { 1, 6 } });
+        daemon->topic.markSynced({ 1, 7 }, start);
+        daemon->topic.apply({ "k", "2", { 2, 2 }, true });
+        daemon->topic.markSynced({ 2, 4 }, start);
+        daemon->topic.markSynced({ 2, 4 }, start + lapse.unconfirmed);
+        EXPECT_EQ(daemon->listener.values, contents {});
+    }
+    first.topic.apply(*second.topic.changeSince(first.topic.state(), start), start);
+    first.topic.markSynced({ 2, 4 }, start + lapse.doubtful);
+    EXPECT_EQ(first.listener.values, (contents { { "k", "2" } }));
+}
+
+// Guards against a record that is dropped although the store confirms it: it waited beside an older one.
+TEST(SharedTopicEra, ADoubtfulRecordConfirmsAnEqualCarriedOne)
+{
+    known_topic known(lapse);
+    known.topic.apply({ "k", "10", { 1, 6 } });
+    known.topic.markSynced({ 1, 7 }, start);
+    known.topic.apply({ "k", "2", { 2, 2 }, true });
+    known.topic.markSynced({ 2, 4 }, start);
+    known.topic.apply({ "k", "2", { 1, 8 } });
+    known.topic.markSynced({ 2, 4 }, start + lapse.unconfirmed);
+    EXPECT_EQ(known.listener.values, (contents { { "k", "2" } }));
+    EXPECT_TRUE(known.topic.unconfirmed().empty());
+}
+
+// Guards against a server that is used although no entry of it stands: the store was restored once more, without the
+// doubtful record; and against an earlier record that takes the place of the one that stands.
+TEST(SharedTopicEra, DoubtfulRecordsAreThoseOfTheLastRestore)
+{
+    known_topic known(lapse);
+    known.topic.apply({ "stands", "100", { 1, 6 } });
+    known.topic.markSynced({ 1, 7 }, start);
+    known.topic.apply({ "lost", "1", { 2, 2 }, true });
+    known.topic.markSynced({ 2, 4 }, start);
+    known.topic.apply({ "stands", "20", { 3, 1 }, true });
+    known.topic.markSynced({ 3, 2 }, start);
+    known.topic.apply({ "stands", "10", { 2, 1 }, true });
+    known.topic.markSynced({ 3, 2 }, start + lapse.doubtful);
+    EXPECT_EQ(known.listener.values, (contents { { "stands", "20" } }));
+}
+
 } // namespace pollen
