Refuse nothing for good by outdated limits

Cause: http_server answered 413 and 431 by the limits of a configuration of any age, or by the defaults before there was one. The newest configuration may allow what was refused, and callers do not repeat it.

Change: http_server_limits says until when the limits are known to be the newest. A request beyond them that begins or is refused later gets a 503 that has not run, with a Retry-After, and its connection is closed. The daemon takes the time from relay_state::denialsUntil(), which belongs to the same denials as 404 and 401. The time is compared at the refusal, as a process that goes on after a pause reads sockets before its next tick.

Evidence: EndlessRequestTest.OutdatedLimitsRefuseNothingForGood failed before with 413 and 431 in all five outdated cases, and passes now with the four other tests of EndlessRequestTest.

--- a/apps/pollenrouted/platform_daemon.cpp
+++ b/apps/pollenrouted/platform_daemon.cpp
@@ -19,9 +19,10 @@
 constexpr duration endMargin = std::chrono::milliseconds(300);
 constexpr duration lastAnswersMargin = std::chrono::milliseconds(200);
 
-http_server_limits toServerLimits(const caller_limits& limits)
+http_server_limits toServerLimits(const caller_limits& limits, time_point newestUntil)
 {
-    return { limits.maximumHeaderBytes, limits.maximumBodyBytes, limits.idleTimeout, limits.headerTimeout };
+    return { limits.maximumHeaderBytes, limits.maximumBodyBytes, limits.idleTimeout, limits.headerTimeout,
+        newestUntil };
 }
 
 } // namespace
@@ -59,8 +60,9 @@
 {
     parts& p = *m_parts;
     p.settingsFile = settingsFile;
-    p.callerServer = std::make_unique<http_server>(p.loop, settings.callers, toServerLimits({}),
-        [&p](const std::shared_ptr<server_request>& request) { p.relay.gateway().handle(request); });
+    p.callerServer
+        = std::make_unique<http_server>(p.loop, settings.callers, toServerLimits({}, p.relay.state().denialsUntil()),
+            [&p](const std::shared_ptr<server_request>& request) { p.relay.gateway().handle(request); });
     p.readinessServer = std::make_unique<http_server>(
         p.loop, settings.readiness, http_server_limits {}, [&p](const std::shared_ptr<server_request>& request) {
             const std::string_view path = targetPath(request->request().target);
@@ -101,7 +103,8 @@
         p.log.write(log_level::Warning, "loop_late", { { "late_ms", toMilliseconds(late) } });
     p.relay.tick(now);
     if (const auto& configuration = p.relay.state().configuration())
-        p.callerServer->setLimits(toServerLimits(configuration->configuration().limits));
+        p.callerServer->setLimits(
+            toServerLimits(configuration->configuration().limits, p.relay.state().denialsUntil()));
     const bool ready = p.relay.gateway().ready();
     if (ready != std::exchange(p.ready, ready)) {
         p.log.write(log_level::Info, ready ? "ready" : "not_ready",
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -54,6 +54,9 @@
     duration idleTimeout = std::chrono::seconds(60);
     // Maximum time from the first byte of a request to the end of its headers.
     duration headerTimeout = std::chrono::seconds(60);
+    // How long the limits are known to be the newest. A request beyond them that begins or is refused later gets a 503
+    // with a Retry-After in place of a 413 or a 431, which would be final.
+    time_point newestUntil = time_point::max();
 
     friend bool operator==(const http_server_limits&, const http_server_limits&) = default;
 };
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -32,16 +32,23 @@
 // which can make the caller lose the response.
 constexpr duration lingerTimeout = std::chrono::seconds(1);
 
+// A repeated request may reach another process that has newer limits.
+constexpr duration retryAfterOutdated = std::chrono::milliseconds(800);
+
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
+constexpr int statusUnavailable = 503;
 
 struct refusal {
     int status;
     const char* type;
+    std::optional<duration> retryAfter = std::nullopt;
 };
 
-refusal toRefusal(parse_state state)
+refusal toRefusal(parse_state state, bool limitsOutdated)
 {
+    if (limitsOutdated && (state == parse_state::HeaderTooLarge || state == parse_state::BodyTooLarge))
+        return { statusUnavailable, "limits_outdated", retryAfterOutdated };
     switch (state) {
     case parse_state::HeaderTooLarge:
         return { 431, "header_too_large" };
@@ -54,6 +61,8 @@
     }
 }
 
+bool areOutdated(const http_server_limits& limits) { return os_clock().now() > limits.newestUntil; }
+
 bool hasNoBody(int status) { return status == statusNoContent || status == statusNotModified; }
 
 const char* reasonPhrase(int status)
@@ -317,6 +326,7 @@
         if (!m_parser) {
             m_body.clear();
             m_idleTimeout = server->limits.idleTimeout;
+            m_limitsOutdated = areOutdated(server->limits);
             m_parser.emplace(static_cast<message_listener&>(*this), server->limits.maximumHeaderBytes,
                 server->limits.maximumBodyBytes);
             m_timer.startOnce(server->limits.headerTimeout);
@@ -331,7 +341,7 @@
             return;
         }
         if (state != parse_state::Complete) {
-            refuse(toRefusal(state));
+            refuse(toRefusal(state, m_limitsOutdated || areOutdated(server->limits)));
             return;
         }
         m_timer.stop();
@@ -363,8 +373,10 @@
         const std::string body = std::string("{\"error\":{\"run\":\"not_run\",\"type\":\"") + reason.type + "\"}}\n";
         m_keepAlive = false;
         m_method = "GET";
-        writeHead(reason.status, { { "Content-Type", "application/json" } },
-            "Content-Length: " + std::to_string(body.size()));
+        http_headers headers { { "Content-Type", "application/json" } };
+        if (reason.retryAfter)
+            headers.emplace_back("Retry-After", std::to_string(toSeconds(*reason.retryAfter)));
+        writeHead(reason.status, headers, "Content-Length: " + std::to_string(body.size()));
         bufferevent_write(m_bufferEvent, body.data(), body.size());
         writeImmediately(m_bufferEvent);
         completeResponse();
@@ -481,6 +493,8 @@
     std::string m_body;
     std::string m_method;
     duration m_idleTimeout { 0 };
+    // Whether the limits of the current request were outdated when it began.
+    bool m_limitsOutdated = false;
     bool m_keepAlive = true;
     // The response ends with the connection.
     bool m_isUnframed = false;
--- a/libs/http/tests/endless_request_test.cpp
+++ b/libs/http/tests/endless_request_test.cpp
@@ -13,6 +13,8 @@
 // Bound for the socket buffers of a connection plus what the server reads before it refuses.
 constexpr size_t maximumSentBytes = 16U << 20;
 constexpr size_t blockBytes = 16U << 10;
+// Time for the first byte of a request to arrive.
+constexpr duration beginningTime = std::chrono::milliseconds(50);
 
 // Sends a prefix and then the same bytes, if any, again and again until the server closes the connection.
 class endless_caller {
@@ -49,6 +51,8 @@
     endless_caller(const endless_caller&) = delete;
     endless_caller& operator=(const endless_caller&) = delete;
 
+    void send(const std::string& bytes) { bufferevent_write(m_connection, bytes.data(), bytes.size()); }
+
     bool closed() const { return m_closed; }
     size_t sentBytes() const { return m_sent; }
     const std::string& answer() const { return m_answer; }
@@ -99,6 +103,51 @@
     }
 }
 
+// Guards against DENIED: a request was refused for good by limits that the newest configuration may have raised.
+TEST(EndlessRequestTest, OutdatedLimitsRefuseNothingForGood)
+{
+    struct outdated_case {
+        const char* what;
+        std::string request;
+        // Whether the limits are outdated when the request begins, and when it is refused.
+        bool atBeginning;
+        bool atRefusal;
+        const char* status;
+    };
+    const std::string post = "POST / HTTP/1.1\r\nContent-Length: 20000\r\n\r\n";
+    const std::string chunked = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4000\r\n";
+    const std::string header = "GET / HTTP/1.1\r\nX: ";
+    for (const outdated_case& given : std::vector<outdated_case> {
+             { "a body with a length", post, true, true, "503" },
+             { "chunks", chunked, true, true, "503" },
+             { "headers", header, true, true, "503" },
+             { "limits that were outdated at the beginning", chunked, true, false, "503" },
+             { "limits that have become outdated", chunked, false, true, "503" },
+             { "the newest limits", chunked, false, false, "413" },
+             { "a malformed request", "GET\r\n\r\n", true, true, "400" },
+         }) {
+        event_loop loop;
+        http_server_limits newest;
+        newest.maximumBodyBytes = blockBytes / 2;
+        http_server_limits outdated = newest;
+        outdated.newestUntil = time_point::min();
+        http_server server(loop, { "127.0.0.1", 0 }, given.atBeginning ? outdated : newest,
+            [](const std::shared_ptr<server_request>& request) { request->reply(200, {}, ""); });
+        // The first byte begins the request.
+        endless_caller caller(loop, server.address(), given.request.substr(0, 1), "");
+        EXPECT_FALSE(loop.runUntil([&] { return caller.closed(); }, beginningTime)) << given.what;
+        server.setLimits(given.atRefusal ? outdated : newest);
+        caller.send(given.request.substr(1) + std::string(2 * blockBytes, 'x'));
+        EXPECT_TRUE(loop.runUntil([&] { return caller.closed(); }, testTimeout)) << given.what;
+        const std::string& answer = caller.answer();
+        EXPECT_TRUE(answer.starts_with(std::string("HTTP/1.1 ") + given.status)) << given.what << ": " << answer;
+        const bool isUnavailable = given.status == std::string("503");
+        EXPECT_EQ(answer.find("\r\nRetry-After: ") != std::string::npos, isUnavailable) << given.what << answer;
+        EXPECT_NE(answer.find("\r\nConnection: close\r\n"), std::string::npos) << given.what << answer;
+        EXPECT_NE(answer.find("\"run\":\"not_run\""), std::string::npos) << given.what << answer;
+    }
+}
+
 // Guards against a caller that floods its connection while its request is processed: libevent called the read callback
 // again and again at the read limit, and the loop reached neither other connections nor its timers.
 TEST(EndlessRequestTest, AFloodBehindAPendingRequestLeavesTheLoopIdle)
--- a/libs/relay/include/relay/relay_state.h
+++ b/libs/relay/include/relay/relay_state.h
@@ -43,6 +43,12 @@
     // The configuration is so old that routes and keys may have been added without this daemon's knowledge.
     bool denialsOutdated(time_point now) const { return configurationAge(now) > m_lifetimes.denials; }
 
+    // Until when the configuration may deny; the distant past before there is one.
+    time_point denialsUntil() const
+    {
+        return m_configuration ? m_configurationConfirmedAt + m_lifetimes.denials : time_point::min();
+    }
+
     // Begins the wait for a newer confirmation, or goes on with it. Returns false once it has lasted for as long as
     // fleet_sync needs to look for another source; the next confirmation ends the wait.
     bool waitForConfirmation(time_point now);
