Show that a cold statement grows newer between two allocators

Cause: statements of entries and presumptions have the id 0, so that a daemon does not recognize its own one when it comes back with a permit request. The time on the way makes it newer each time; over links with 50 ms the server stays cold while both allocators ask. Change: a failing test, WarmUpTableTest.AStatementThatPassesBetweenAllocatorsDoesNotBecomeNewer.

--- a/libs/scheduling/tests/warm_up_table_test.cpp
+++ b/libs/scheduling/tests/warm_up_table_test.cpp
@@ -95,6 +95,29 @@
     EXPECT_EQ(other.noticesOf({ server }, start + ms(4000)).size(), 1U);
 }
 
+// Guards against servers that stay cold for as long as two allocators ask each other over slow links: each takes the
+// other's copy of its own statement for a newer one, by the time on the way.
+TEST_F(WarmUpTableTest, AStatementThatPassesBetweenAllocatorsDoesNotBecomeNewer)
+{
+    warm_up_table other(m_random);
+    other.setRules({ { service, rule } });
+    const duration delay = ms(50);
+    m_table.recordEntry(server, service, std::nullopt, start);
+    time_point now = start;
+    const auto pass = [&](warm_up_table& from, warm_up_table& to) {
+        from.removeWarm(now);
+        const std::vector<warm_up_notice> notices = from.noticesOf({ server }, now);
+        now += delay;
+        for (const warm_up_notice& notice : notices)
+            to.merge(notice, now);
+    };
+    while (now < start + rule.time + 4 * delay) {
+        pass(m_table, other);
+        pass(other, m_table);
+    }
+    EXPECT_FALSE(isColdAt(now - start));
+}
+
 // Guards against limits in deployments whose configuration has no warm-up.
 TEST_F(WarmUpTableTest, ServicesWithoutAWarmUpAreNeverCold)
 {
