Recognize every cold statement that comes back from another daemon

Change: every statement has a random id. Whether it is passed on to all daemons is a field of its own. Evidence: WarmUpTableTest.AStatementThatPassesBetweenAllocatorsDoesNotBecomeNewer passes; scheduling_tests 30 of 30.

--- a/libs/scheduling/include/scheduling/warm_up_table.h
+++ b/libs/scheduling/include/scheduling/warm_up_table.h
@@ -27,8 +27,11 @@
 struct warm_up_notice {
     instance_id server;
     service_name service;
-    // Random; recognizes a notice that comes back from another daemon. 0 for a statement that is not to be passed on.
+    // Random; recognizes a statement that comes back from another daemon, where its age is inexact by the time on the
+    // way.
     uint64_t statement = 0;
+    // Whether the receiver passes the statement on to all daemons.
+    bool isShared = false;
     // How much longer the server is cold, at the time of the statement.
     duration left { 0 };
     // Time since the statement.
@@ -90,8 +93,9 @@
         service_name service;
         time_point statedAt;
         time_point until;
-        // 0: not passed on to other daemons.
+        // As in warm_up_notice.
         uint64_t statement = 0;
+        bool isShared = false;
         // The warm-up begins with the next answer.
         bool isUnreachable = false;
     };
--- a/libs/scheduling/src/warm_up_table.cpp
+++ b/libs/scheduling/src/warm_up_table.cpp
@@ -48,13 +48,13 @@
 {
     if (!left && (m_servers.contains(server) || m_warmSince.contains(server)))
         return;
-    store(server, { service, now, now + left.value_or(maximumWarmUp) });
+    store(server, { service, now, now + left.value_or(maximumWarmUp), m_random() });
 }
 
 bool warm_up_table::recordAnswer(const instance_id& server, const service_name& service, duration left, time_point now)
 {
     const bool wasCold = m_servers.contains(server);
-    store(server, { service, now, now + left, m_random() });
+    store(server, { service, now, now + left, m_random(), true });
     return m_servers.contains(server) != wasCold;
 }
 
@@ -63,7 +63,7 @@
     const auto known = m_servers.find(server);
     if (known != m_servers.end() && known->second.isUnreachable)
         return;
-    store(server, { service, now, now + maximumWarmUp, m_random(), true });
+    store(server, { service, now, now + maximumWarmUp, m_random(), true, true });
 }
 
 void warm_up_table::recordReachable(const instance_id& server, time_point now)
@@ -72,21 +72,19 @@
     if (known == m_servers.end() || !known->second.isUnreachable)
         return;
     const cold_server cold = known->second;
-    store(server, { cold.service, now, now + maximumWarmUp, m_random() });
+    store(server, { cold.service, now, now + maximumWarmUp, m_random(), true });
 }
 
 void warm_up_table::presumeCold(const instance_id& server, const service_name& service, time_point now)
 {
-    store(server, { service, now, now + maximumWarmUp });
+    store(server, { service, now, now + maximumWarmUp, m_random() });
 }
 
 void warm_up_table::merge(const warm_up_notice& notice, time_point receivedAt)
 {
     const time_point statedAt = receivedAt - std::max(notice.age, duration(0));
     const auto known = m_servers.find(notice.server);
-    if (known != m_servers.end()
-        && ((notice.statement != 0 && known->second.statement == notice.statement)
-            || known->second.statedAt >= statedAt))
+    if (known != m_servers.end() && (known->second.statement == notice.statement || known->second.statedAt >= statedAt))
         return;
     const auto warm = m_warmSince.find(notice.server);
     if (warm != m_warmSince.end() && warm->second >= statedAt)
@@ -94,7 +92,7 @@
     const duration left = std::clamp(notice.left, duration(0), maximumWarmUp);
     // A notice that has expired on the way says no more than that the server is warm.
     if (statedAt + left > receivedAt || known != m_servers.end())
-        store(notice.server, { notice.service, statedAt, statedAt + left, notice.statement });
+        store(notice.server, { notice.service, statedAt, statedAt + left, notice.statement, notice.isShared });
 }
 
 std::optional<warm_up_rule> warm_up_table::find(const instance_id& server) const
@@ -106,14 +104,14 @@
 
 warm_up_notice warm_up_table::toNotice(const instance_id& server, const cold_server& cold, time_point now)
 {
-    return { server, cold.service, cold.statement, cold.until - cold.statedAt, now - cold.statedAt };
+    return { server, cold.service, cold.statement, cold.isShared, cold.until - cold.statedAt, now - cold.statedAt };
 }
 
 std::vector<warm_up_notice> warm_up_table::notices(time_point now) const
 {
     std::vector<warm_up_notice> notices;
     for (const auto& [server, cold] : m_servers) {
-        if (cold.statement != 0)
+        if (cold.isShared)
             notices.push_back(toNotice(server, cold, now));
     }
     return notices;
