Show that daemons take a server that is down for a warm one

Cause: a refused connection counts until the server answers, but only at the daemon that saw it. The others forget it when the warm-up has passed since the refusal, and do not learn of it later, so that they send freely to the server once it is back. Change: a failing test, WarmUpTableTest.AllDaemonsKnowOfAServerThatIsDownUntilItAnswers.

--- a/libs/scheduling/tests/warm_up_table_test.cpp
+++ b/libs/scheduling/tests/warm_up_table_test.cpp
@@ -118,6 +118,35 @@
     EXPECT_FALSE(isColdAt(now - start));
 }
 
+// Guards against daemons that have not tried a server while it was down, and take it for warm once it is back.
+TEST_F(WarmUpTableTest, AllDaemonsKnowOfAServerThatIsDownUntilItAnswers)
+{
+    warm_up_table other(m_random);
+    other.setRules({ { service, rule } });
+    m_table.recordEntry(server, service, ms(0), start);
+    other.recordEntry(server, service, ms(0), start);
+    m_table.recordRefusedConnection(server, service, start + ms(100));
+    const auto tellOther = [&](duration after) {
+        for (const warm_up_notice& notice : m_table.notices(start + after))
+            other.merge(notice, start + after);
+        other.removeWarm(start + after);
+    };
+    tellOther(ms(200));
+    tellOther(ms(15000));
+    EXPECT_TRUE(other.find(server)) << "warm while it is down";
+    const warm_up_notice isDown = m_table.notices(start + ms(15000)).front();
+    m_table.recordReachable(server, start + ms(15000));
+    tellOther(ms(15200));
+    EXPECT_TRUE(other.find(server));
+    tellOther(ms(18200));
+    EXPECT_FALSE(other.find(server));
+    // A daemon that was cut off meanwhile still has the older statement.
+    warm_up_notice late = isDown;
+    late.age += ms(3300);
+    other.merge(late, start + ms(18300));
+    EXPECT_FALSE(other.find(server)) << "an older statement counts";
+}
+
 // Guards against limits in deployments whose configuration has no warm-up.
 TEST_F(WarmUpTableTest, ServicesWithoutAWarmUpAreNeverCold)
 {
