Tell all daemons that a server is down until it answers

Change: notices say that a server refuses connections. Daemons keep that until a newer statement or an answer, as the one does that saw it. A statement that has run out is remembered for as long as one that says a server is warm, so that an older one does not return; ages in notices are bounded.

--- a/libs/relay/src/message_codec.h
+++ b/libs/relay/src/message_codec.h
@@ -31,7 +31,8 @@
 
 template <typename Archive> void serialize(Archive& archive, warm_up_notice& notice)
 {
-    archive(notice.server, notice.service, notice.statement, notice.isShared, notice.left, notice.age);
+    archive(notice.server, notice.service, notice.statement, notice.isShared, notice.isUnreachable, notice.left,
+        notice.age);
 }
 
 template <typename Message> std::string encodeMessage(const Message& message)
--- a/libs/scheduling/include/scheduling/warm_up_table.h
+++ b/libs/scheduling/include/scheduling/warm_up_table.h
@@ -32,6 +32,8 @@
     uint64_t statement = 0;
     // Whether the receiver passes the statement on to all daemons.
     bool isShared = false;
+    // The server refuses connections; its warm-up begins with its next answer.
+    bool isUnreachable = false;
     // How much longer the server is cold, at the time of the statement.
     duration left { 0 };
     // Time since the statement.
@@ -96,7 +98,6 @@
         // As in warm_up_notice.
         uint64_t statement = 0;
         bool isShared = false;
-        // The warm-up begins with the next answer.
         bool isUnreachable = false;
     };
 
@@ -109,7 +110,7 @@
     random_source& m_random;
     std::optional<std::map<service_name, warm_up_rule>> m_rules;
     std::unordered_map<instance_id, cold_server> m_servers;
-    // When entries and answers last stated that a server is warm, so that older statements of others do not return.
+    // The time of the last statement by which a server is warm now, so that older ones of other daemons do not return.
     std::unordered_map<instance_id, time_point> m_warmSince;
 };
 
--- a/libs/scheduling/src/warm_up_table.cpp
+++ b/libs/scheduling/src/warm_up_table.cpp
@@ -8,6 +8,8 @@
 
 // Longest time that a statement is believed for while the service's own limit is not known.
 constexpr duration maximumWarmUp = std::chrono::seconds(60);
+// Older statements count as being of this age.
+constexpr duration maximumStatementAge = std::chrono::hours(24);
 // Statements of other daemons that are older than this are no longer passed on by anyone.
 constexpr duration warmStatementLifetime = std::chrono::seconds(10);
 
@@ -82,7 +84,7 @@
 
 void warm_up_table::merge(const warm_up_notice& notice, time_point receivedAt)
 {
-    const time_point statedAt = receivedAt - std::max(notice.age, duration(0));
+    const time_point statedAt = receivedAt - std::clamp(notice.age, duration(0), maximumStatementAge);
     const auto known = m_servers.find(notice.server);
     if (known != m_servers.end() && (known->second.statement == notice.statement || known->second.statedAt >= statedAt))
         return;
@@ -91,8 +93,9 @@
         return;
     const duration left = std::clamp(notice.left, duration(0), maximumWarmUp);
     // A notice that has expired on the way says no more than that the server is warm.
-    if (statedAt + left > receivedAt || known != m_servers.end())
-        store(notice.server, { notice.service, statedAt, statedAt + left, notice.statement, notice.isShared });
+    if (notice.isUnreachable || statedAt + left > receivedAt || known != m_servers.end())
+        store(notice.server,
+            { notice.service, statedAt, statedAt + left, notice.statement, notice.isShared, notice.isUnreachable });
 }
 
 std::optional<warm_up_rule> warm_up_table::find(const instance_id& server) const
@@ -104,7 +107,8 @@
 
 warm_up_notice warm_up_table::toNotice(const instance_id& server, const cold_server& cold, time_point now)
 {
-    return { server, cold.service, cold.statement, cold.isShared, cold.until - cold.statedAt, now - cold.statedAt };
+    return { server, cold.service, cold.statement, cold.isShared, cold.isUnreachable, cold.until - cold.statedAt,
+        now - cold.statedAt };
 }
 
 std::vector<warm_up_notice> warm_up_table::notices(time_point now) const
@@ -134,7 +138,10 @@
         const cold_server& cold = item.second;
         const warm_up_rule* rule = ruleOf(cold.service);
         const time_point until = rule ? std::min(cold.until, cold.statedAt + rule->time) : cold.until;
-        return !cold.isUnreachable && now >= until;
+        const bool isWarm = !cold.isUnreachable && now >= until;
+        if (isWarm)
+            m_warmSince[item.first] = cold.statedAt;
+        return isWarm;
     });
     std::erase_if(m_warmSince, [&](const auto& item) { return now - item.second > warmStatementLifetime; });
 }
