Show that the state of a server that is not listed yet is lost

Cause: entries are read over several pages and listed after the last one. Change: a failing test, WarmUpTableTest.AnEntryCountsBeforeTheServerIsListed.

--- a/libs/scheduling/tests/warm_up_table_test.cpp
+++ b/libs/scheduling/tests/warm_up_table_test.cpp
@@ -147,6 +147,18 @@
     EXPECT_FALSE(other.find(server)) << "an older statement counts";
 }
 
+// Guards against entries that are read over several pages: the server is listed only after the last page.
+TEST_F(WarmUpTableTest, AnEntryCountsBeforeTheServerIsListed)
+{
+    m_table.recordEntry(server, service, ms(3000), start);
+    m_table.removeUnlisted(server_table());
+    EXPECT_TRUE(isColdAt(ms(1000)));
+    EXPECT_FALSE(isColdAt(ms(3000)));
+    m_table.recordRefusedConnection(server, service, start + ms(3000));
+    m_table.removeUnlisted(server_table());
+    EXPECT_TRUE(m_table.empty()) << "kept for ever";
+}
+
 // Guards against limits in deployments whose configuration has no warm-up.
 TEST_F(WarmUpTableTest, ServicesWithoutAWarmUpAreNeverCold)
 {
