Keep the warm-up of servers that are not listed yet

Change: only servers that refuse connections are removed once they are not listed; other statements run out by themselves.

--- a/libs/scheduling/include/scheduling/warm_up_table.h
+++ b/libs/scheduling/include/scheduling/warm_up_table.h
@@ -87,7 +87,7 @@
 
     // Removes the servers that are warm by now. Called on every tick.
     void removeWarm(time_point now);
-    // Removes the servers that are no longer listed.
+    // Removes the servers that refuse connections and are no longer listed.
     void removeUnlisted(const server_table& servers);
 
 private:
--- a/libs/scheduling/src/warm_up_table.cpp
+++ b/libs/scheduling/src/warm_up_table.cpp
@@ -148,7 +148,9 @@
 
 void warm_up_table::removeUnlisted(const server_table& servers)
 {
-    std::erase_if(m_servers, [&](const auto& item) { return !servers.isListed(item.first); });
+    // Other statements run out by themselves, and may precede the list.
+    std::erase_if(
+        m_servers, [&](const auto& item) { return item.second.isUnreachable && !servers.isListed(item.first); });
 }
 
 } // namespace pollen
