Show that a change of an entry makes a warm server cold

Cause: that a server is warm is forgotten after 10 s. An entry that changes later and states nothing on warm-up then counts as that of an unknown server. Change: a failing test, WarmUpTableTest.AnEntryWithoutAStatementChangesNothing.

--- a/libs/scheduling/tests/warm_up_table_test.cpp
+++ b/libs/scheduling/tests/warm_up_table_test.cpp
@@ -159,6 +159,20 @@
     EXPECT_TRUE(m_table.empty()) << "kept for ever";
 }
 
+// Guards against warm servers that lose their part because their entry changes and states nothing on warm-up.
+TEST_F(WarmUpTableTest, AnEntryWithoutAStatementChangesNothing)
+{
+    server_table servers;
+    listed_server listed;
+    listed.entry.id = server;
+    servers.replaceListed({ listed });
+    m_table.recordEntry(server, service, ms(0), start);
+    EXPECT_FALSE(isColdAt(ms(20000)));
+    m_table.removeUnlisted(servers);
+    m_table.recordEntry(server, service, std::nullopt, start + ms(20000));
+    EXPECT_FALSE(isColdAt(ms(20000)));
+}
+
 // Guards against limits in deployments whose configuration has no warm-up.
 TEST_F(WarmUpTableTest, ServicesWithoutAWarmUpAreNeverCold)
 {
