Forget that a server is known only with its entry

Change: the table remembers the process of each listed server. An entry without a statement leaves a known process as it is; a new process under the same id counts as cold. Evidence: WarmUpTableTest.AnEntryWithoutAStatementChangesNothingUnlessTheProcessIsNew (extended by the new process) passes; scheduling_tests 33 of 33.

--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -161,7 +161,8 @@
 {
     if (server.coldLeftUnreadable)
         m_log.write(log_level::Warning, "server_warm_up_unreadable", { { "server", server.entry.id.text() } });
-    m_rateLimits.warmUps().recordEntry(server.entry.id, server.entry.service, server.coldLeft, m_time.now());
+    m_rateLimits.warmUps().recordEntry(
+        server.entry.id, server.entry.service, server.coldLeft, m_time.now(), server.processStartMilliseconds);
 }
 
 void platform_relay::onServers(const std::vector<listed_server>& list)
--- a/libs/scheduling/include/scheduling/warm_up_table.h
+++ b/libs/scheduling/include/scheduling/warm_up_table.h
@@ -56,9 +56,9 @@
     void setRules(std::map<service_name, warm_up_rule> rules);
 
     // Applies the remaining time that the server's entry states. An entry that states none leaves what is known, and
-    // an unknown server counts as cold.
-    void recordEntry(
-        const instance_id& server, const service_name& service, std::optional<duration> left, time_point now);
+    // an unknown server counts as cold, as does a new process of a known one. processStart: as in listed_server.
+    void recordEntry(const instance_id& server, const service_name& service, std::optional<duration> left,
+        time_point now, int64_t processStart = 0);
 
     // Applies the remaining time that the server names in an answer. Returns whether the server has become cold or warm
     // by it.
@@ -87,7 +87,7 @@
 
     // Removes the servers that are warm by now. Called on every tick.
     void removeWarm(time_point now);
-    // Removes the servers that refuse connections and are no longer listed.
+    // Removes the servers that refuse connections and are no longer listed, and forgets the processes of unlisted ones.
     void removeUnlisted(const server_table& servers);
 
 private:
@@ -112,6 +112,8 @@
     std::unordered_map<instance_id, cold_server> m_servers;
     // The time of the last statement by which a server is warm now, so that older ones of other daemons do not return.
     std::unordered_map<instance_id, time_point> m_warmSince;
+    // Start of the process of each server whose entry has been read.
+    std::unordered_map<instance_id, int64_t> m_processes;
 };
 
 } // namespace pollen
--- a/libs/scheduling/src/warm_up_table.cpp
+++ b/libs/scheduling/src/warm_up_table.cpp
@@ -1,6 +1,7 @@
 #include <scheduling/warm_up_table.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace pollen {
 
@@ -45,12 +46,15 @@
     m_servers[server] = limited;
 }
 
-void warm_up_table::recordEntry(
-    const instance_id& server, const service_name& service, std::optional<duration> left, time_point now)
+void warm_up_table::recordEntry(const instance_id& server, const service_name& service, std::optional<duration> left,
+    time_point now, int64_t processStart)
 {
-    if (!left && (m_servers.contains(server) || m_warmSince.contains(server)))
-        return;
-    store(server, { service, now, now + left.value_or(maximumWarmUp), m_random() });
+    const auto [process, isNew] = m_processes.try_emplace(server, processStart);
+    const bool isSameProcess = std::exchange(process->second, processStart) == processStart;
+    // Another daemon may have told of the server before its entry was read.
+    const bool isKnown = isNew ? m_servers.contains(server) || m_warmSince.contains(server) : isSameProcess;
+    if (left || !isKnown)
+        store(server, { service, now, now + left.value_or(maximumWarmUp), m_random() });
 }
 
 bool warm_up_table::recordAnswer(const instance_id& server, const service_name& service, duration left, time_point now)
@@ -151,6 +155,7 @@
     // Other statements run out by themselves, and may precede the list.
     std::erase_if(
         m_servers, [&](const auto& item) { return item.second.isUnreachable && !servers.isListed(item.first); });
+    std::erase_if(m_processes, [&](const auto& item) { return !servers.isListed(item.first); });
 }
 
 } // namespace pollen
--- a/libs/scheduling/tests/warm_up_table_test.cpp
+++ b/libs/scheduling/tests/warm_up_table_test.cpp
@@ -159,18 +159,21 @@
     EXPECT_TRUE(m_table.empty()) << "kept for ever";
 }
 
-// Guards against warm servers that lose their part because their entry changes and states nothing on warm-up.
-TEST_F(WarmUpTableTest, AnEntryWithoutAStatementChangesNothing)
+// Guards against warm servers that lose their part because their entry changes and states nothing on warm-up, and
+// against a new process under the same id that is taken for the former one.
+TEST_F(WarmUpTableTest, AnEntryWithoutAStatementChangesNothingUnlessTheProcessIsNew)
 {
     server_table servers;
     listed_server listed;
     listed.entry.id = server;
     servers.replaceListed({ listed });
-    m_table.recordEntry(server, service, ms(0), start);
+    m_table.recordEntry(server, service, ms(0), start, 1);
     EXPECT_FALSE(isColdAt(ms(20000)));
     m_table.removeUnlisted(servers);
-    m_table.recordEntry(server, service, std::nullopt, start + ms(20000));
+    m_table.recordEntry(server, service, std::nullopt, start + ms(20000), 1);
     EXPECT_FALSE(isColdAt(ms(20000)));
+    m_table.recordEntry(server, service, std::nullopt, start + ms(40000), 2);
+    EXPECT_TRUE(isColdAt(ms(40000)));
 }
 
 // Guards against limits in deployments whose configuration has no warm-up.
