Show that daemons that hear of no other exceed what a cold server bears

Cause: a daemon of the own failure domain that has been silent for 10 s is no longer counted, so that each side of a longer partition allocates the whole share of the domain. Twelve daemons apart for 15 s grant 24 requests in a second; 13.4 are allowed. Change: a failing test, PermitSystemTest.DaemonsThatDoNotHearOfEachOtherSpareAColdServer.

--- a/libs/relay/tests/permit_system_test.cpp
+++ b/libs/relay/tests/permit_system_test.cpp
@@ -11,6 +11,13 @@
 
 const instance_id limitedServer("s");
 constexpr double limit = 1.1;
+const instance_id coldServer("cold");
+const service_name service("engines");
+// As in warm_up_table_test.cpp.
+constexpr double coldRate = 5.6;
+constexpr double allowedOfColdServer = coldRate * 1.5 + 5;
+const warm_up_rule coldRule { std::chrono::seconds(3), coldRate, 3.9 };
+const std::vector<std::string> twelveDaemons { "a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4", "c1", "c2", "c3", "c4" };
 constexpr duration tickInterval = std::chrono::milliseconds(50);
 
 struct permit_daemon {
@@ -21,6 +28,7 @@
         , permits({ self.id, self.failureDomain }, store, limits, exchange, time, log)
     {
         limits.recordAnswer(limitedServer, limit, time.now() - tickInterval, time.now());
+        limits.warmUps().setRules({ { service, coldRule } });
     }
 
     null_logger log;
@@ -79,8 +87,34 @@
             m_network.silent.erase(m_listed[id].address);
     }
 
+    void isolateAll()
+    {
+        for (const auto& [id, daemon] : m_daemons)
+            cut(id, true);
+    }
+    // The server becomes cold, and all daemons ask for it in each tick.
+    void runCold(duration time)
+    {
+        m_granted.clear();
+        for (const auto& [id, daemon] : m_daemons)
+            daemon->limits.warmUps().recordEntry(coldServer, service, coldRule.time, m_time.now());
+        run(time, coldServer);
+        for (const auto& [id, daemon] : m_daemons)
+            daemon->limits.warmUps().removeWarm(m_time.now());
+    }
+    double mostInSecond() const
+    {
+        size_t most = 0;
+        for (size_t first = 0, last = 0; last < m_granted.size(); ++last) {
+            while (m_granted[last] - m_granted[first] >= std::chrono::seconds(1))
+                ++first;
+            most = std::max(most, last - first + 1);
+        }
+        return static_cast<double>(most);
+    }
+
     // Every daemon asks for the server once in each tick.
-    void run(duration time)
+    void run(duration time, const instance_id& server = limitedServer)
     {
         for (duration passed { 0 }; passed < time; passed += tickInterval) {
             m_time.advance(tickInterval);
@@ -88,7 +122,7 @@
                 if (daemon->frozen)
                     continue;
                 daemon->permits.tick(m_time.now());
-                daemon->permits.request({ limitedServer }, [this](const permit_decision& decision) {
+                daemon->permits.request({ server }, [this](const permit_decision& decision) {
                     if (decision.server)
                         m_granted.push_back(m_time.now());
                 });
@@ -247,6 +281,18 @@
     EXPECT_EQ(asked, 1);
 }
 
+// Guards against FAILBACK: daemons that have not heard of each other for long each take the share of their whole
+// domain.
+TEST_F(PermitSystemTest, DaemonsThatDoNotHearOfEachOtherSpareAColdServer)
+{
+    startAll(twelveDaemons);
+    run(std::chrono::seconds(2));
+    isolateAll();
+    idle(std::chrono::seconds(15));
+    runCold(coldRule.time);
+    EXPECT_LE(mostInSecond(), allowedOfColdServer);
+}
+
 TEST(PermitMessage, RoundTripsAndRejectsMalformedBytes)
 {
     const permit_request request { instance_id("d"), true, { instance_id("s"), instance_id("t") },
