Count silent daemons in the parts of a cold server's rate

The part of a machine that has ended stays unused while a server is cold. Limits that servers name are shared as before.

--- a/libs/relay/include/relay/permit_system.h
+++ b/libs/relay/include/relay/permit_system.h
@@ -69,8 +69,9 @@
     bool isAllocator() const;
     // Checks daemons that do not answer, and declares to the allocator that this daemon takes its permits from it.
     void checkDaemons(time_point now);
-    // Daemons of the own domain that may take permits from another allocator than this one.
-    size_t countOthers(time_point now) const;
+    // Daemons of the own domain that may take permits from another allocator than this one. A daemon that has been
+    // silent for more than maximumSilence is not counted.
+    size_t countOthers(duration maximumSilence, time_point now) const;
     void updatePart(time_point now);
     void removeOverdue(time_point now);
     // Asks the next domain, or reports that there is no permit.
--- a/libs/relay/src/permit_system.cpp
+++ b/libs/relay/src/permit_system.cpp
@@ -121,7 +121,7 @@
     }
 }
 
-size_t permit_system::countOthers(time_point now) const
+size_t permit_system::countOthers(duration maximumSilence, time_point now) const
 {
     const std::vector<listed_peer>& daemons = m_daemons.at(m_self.failureDomain);
     return static_cast<size_t>(std::count_if(daemons.begin(), daemons.end(), [&](const listed_peer& daemon) {
@@ -136,7 +136,9 @@
 {
     std::erase_if(m_members, [&](const auto& member) { return now - member.second > memberLifetime; });
     const auto own = static_cast<double>(m_members.size() + 1);
-    m_allocator.setPart(own / (own + static_cast<double>(countOthers(now))));
+    const auto partBeside = [&](size_t others) { return own / (own + static_cast<double>(others)); };
+    // A cold server falls over if both sides of a long partition send it the share of the whole domain.
+    m_allocator.setPart(partBeside(countOthers(maximumSilence, now)), partBeside(countOthers(duration::max(), now)));
 }
 
 void permit_system::removeOverdue(time_point now)
--- a/libs/scheduling/include/scheduling/permit_allocator.h
+++ b/libs/scheduling/include/scheduling/permit_allocator.h
@@ -31,8 +31,12 @@
     void setDomains(std::vector<failure_domain_name> domains) { m_domains = std::move(domains); }
 
     // The part of the domain's share that may be allocated here, 0 to 1; the rest belongs to daemons of the domain that
-    // may take their permits elsewhere.
-    void setPart(double part) { m_part = part; }
+    // may take their permits elsewhere. strictPart: the same for strict limits.
+    void setPart(double part, double strictPart)
+    {
+        m_part = part;
+        m_strictPart = strictPart;
+    }
 
     // servers: in the order of preference. A server without a limit needs no permit and is granted.
     permit_decision take(const std::vector<instance_id>& servers, time_point now);
@@ -57,6 +61,7 @@
     const server_rate_limits& m_limits;
     std::vector<failure_domain_name> m_domains;
     double m_part = 1;
+    double m_strictPart = 1;
     std::unordered_map<instance_id, token_bucket> m_buckets;
 };
 
--- a/libs/scheduling/include/scheduling/server_rate_limits.h
+++ b/libs/scheduling/include/scheduling/server_rate_limits.h
@@ -30,6 +30,8 @@
     double requestsPerSecond = 0;
     // Permits that all daemons together may hold unused.
     double burst = 0;
+    // Holds for as long as daemons do not hear of each other, at the expense of the parts of those that have ended.
+    bool isStrict = false;
 
     friend bool operator==(const send_limit&, const send_limit&) = default;
 };
--- a/libs/scheduling/src/permit_allocator.cpp
+++ b/libs/scheduling/src/permit_allocator.cpp
@@ -22,7 +22,7 @@
     if (rank >= sharing)
         return {};
     const auto parts = static_cast<double>(sharing);
-    return { limit.requestsPerSecond / parts * m_part, limit.burst / parts };
+    return { limit.requestsPerSecond / parts * (limit.isStrict ? m_strictPart : m_part), limit.burst / parts };
 }
 
 permit_decision permit_allocator::take(const std::vector<instance_id>& servers, time_point now)
--- a/libs/scheduling/src/server_rate_limits.cpp
+++ b/libs/scheduling/src/server_rate_limits.cpp
@@ -54,7 +54,7 @@
     }
     const auto cold = m_warmUps.find(server);
     if (cold && (!limit || cold->requestsPerSecond < limit->requestsPerSecond))
-        limit = send_limit { cold->requestsPerSecond, cold->burst };
+        limit = send_limit { cold->requestsPerSecond, cold->burst, true };
     return limit;
 }
 
