Show permits that outlive a warm-up, and a share that is small at first

Cause: no tick runs while no server has a limit. Buckets of an earlier warm-up are kept and fill up meanwhile: 18 daemons that hear of no other grant 18 requests at once, 13.4 are allowed in a second. And the allocator counts a member that declares itself at its next tick only, up to 250 ms later, so that the share is small while the first server has just become cold. Change: two failing tests, PermitSystemTest.PermitsOfAnEarlierWarmUpAreGivenUp and TheShareOfADomainIsWholeAsSoonAsItsMembersHaveDeclaredThemselves.

--- a/libs/relay/tests/permit_system_test.cpp
+++ b/libs/relay/tests/permit_system_test.cpp
@@ -102,6 +102,14 @@
         for (const auto& [id, daemon] : m_daemons)
             daemon->limits.warmUps().removeWarm(m_time.now());
     }
+    // No server has a limit any more.
+    void endLimits()
+    {
+        for (const auto& [id, daemon] : m_daemons) {
+            daemon->limits.recordAnswer(limitedServer, std::nullopt, m_time.now(), m_time.now());
+            daemon->limits.removeExpired(server_table(), m_time.now() + std::chrono::minutes(1));
+        }
+    }
     double mostInSecond() const
     {
         size_t most = 0;
@@ -293,6 +301,32 @@
     EXPECT_LE(mostInSecond(), allowedOfColdServer);
 }
 
+// Guards against permits of an earlier warm-up that each of many allocators has saved up since.
+TEST_F(PermitSystemTest, PermitsOfAnEarlierWarmUpAreGivenUp)
+{
+    startAll(twelveDaemons);
+    startAll({ "a5", "a6", "b5", "b6", "c5", "c6" });
+    idle(std::chrono::seconds(2));
+    endLimits();
+    isolateAll();
+    runCold(coldRule.time);
+    idle(std::chrono::seconds(60));
+    runCold(coldRule.time);
+    EXPECT_LE(mostInSecond(), allowedOfColdServer);
+}
+
+// Guards against a share that is small at first because the members have not declared themselves: no permits were
+// needed before the first server became cold.
+TEST_F(PermitSystemTest, TheShareOfADomainIsWholeAsSoonAsItsMembersHaveDeclaredThemselves)
+{
+    startAll(twelveDaemons);
+    idle(std::chrono::seconds(2));
+    endLimits();
+    idle(std::chrono::seconds(10));
+    runCold(std::chrono::milliseconds(700));
+    EXPECT_GE(m_granted.size(), 3U) << "one for each failure domain";
+}
+
 TEST(PermitMessage, RoundTripsAndRejectsMalformedBytes)
 {
     const permit_request request { instance_id("d"), true, { instance_id("s"), instance_id("t") },
