Give up permits when no server has a limit any more

Cause: see PermitSystemTest.PermitsOfAnEarlierWarmUpAreGivenUp. Change: a tick without limits clears the buckets and the denials.

--- a/libs/relay/src/permit_system.cpp
+++ b/libs/relay/src/permit_system.cpp
@@ -48,7 +48,13 @@
     recordActivity(now);
     removeOverdue(now);
     // Without limits nothing is asked for, and large fleets save the processor time.
-    if (m_limits.empty() || now < m_nextUpdate)
+    if (m_limits.empty()) {
+        // Permits must not accumulate until the next limit.
+        m_allocator.clear();
+        m_deniedUntil.clear();
+        return;
+    }
+    if (now < m_nextUpdate)
         return;
     m_nextUpdate = now + updateInterval;
     updateDaemons();
