Count a member in the domain's share as soon as it declares itself

Cause: see PermitSystemTest.TheShareOfADomainIsWholeAsSoonAsItsMembersHaveDeclaredThemselves. Change: the part is computed anew when a daemon declares itself that was not a member; no further message.

--- a/libs/relay/src/permit_system.cpp
+++ b/libs/relay/src/permit_system.cpp
@@ -345,8 +345,8 @@
             m_limits.warmUps().merge(notice, now);
         if (m_daemons.empty())
             updateDaemons();
-        if (request.isMember)
-            m_members[request.sender] = now;
+        if (request.isMember && m_members.insert_or_assign(request.sender, now).second)
+            updatePart(now);
         permit_reply reply;
         const auto allocator = allocatorOf(m_self.failureDomain);
         reply.isAllocator = isAllocator();
