--- a/libs/relay/src/permit_system.cpp
+++ b/libs/relay/src/permit_system.cpp
@@ -48,7 +48,13 @@
     recordActivity(now);
     removeOverdue(now);
     // Without limits nothing is asked for, and large fleets save the processor time.
-    if (m_limits.empty() || now < m_nextUpdate)
+    if (m_limits.empty()) {
+        // Permits must not accumulate until the next limit.
+        m_allocator.clear();
+        m_deniedUntil.clear();
+        return;
+    }
+    if (now < m_nextUpdate)
         return;
     m_nextUpdate = now + updateInterval;
     updateDaemons();
@@ -121,7 +127,7 @@
     }
 }
 
-size_t permit_system::countOthers(time_point now) const
+size_t permit_system::countOthers(duration maximumSilence, time_point now) const
 {
     const std::vector<listed_peer>& daemons = m_daemons.at(m_self.failureDomain);
     return static_cast<size_t>(std::count_if(daemons.begin(), daemons.end(), [&](const listed_peer& daemon) {
@@ -136,7 +142,9 @@
 {
     std::erase_if(m_members, [&](const auto& member) { return now - member.second > memberLifetime; });
     const auto own = static_cast<double>(m_members.size() + 1);
-    m_allocator.setPart(own / (own + static_cast<double>(countOthers(now))));
+    const auto partBeside = [&](size_t others) { return own / (own + static_cast<double>(others)); };
+    // A cold server falls over if both sides of a long partition send it the share of the whole domain.
+    m_allocator.setPart(partBeside(countOthers(maximumSilence, now)), partBeside(countOthers(duration::max(), now)));
 }
 
 void permit_system::removeOverdue(time_point now)
@@ -337,8 +345,8 @@
             m_limits.warmUps().merge(notice, now);
         if (m_daemons.empty())
             updateDaemons();
-        if (request.isMember)
-            m_members[request.sender] = now;
+        if (request.isMember && m_members.insert_or_assign(request.sender, now).second)
+            updatePart(now);
         permit_reply reply;
         const auto allocator = allocatorOf(m_self.failureDomain);
         reply.isAllocator = isAllocator();
