--- a/libs/scheduling/include/scheduling/warm_up_table.h
+++ b/libs/scheduling/include/scheduling/warm_up_table.h
@@ -27,8 +27,13 @@
 struct warm_up_notice {
     instance_id server;
     service_name service;
-    // Random; recognizes a notice that comes back from another daemon. 0 for a statement that is not to be passed on.
+    // Random; recognizes a statement that comes back from another daemon, where its age is inexact by the time on the
+    // way.
     uint64_t statement = 0;
+    // Whether the receiver passes the statement on to all daemons.
+    bool isShared = false;
+    // The server refuses connections; its warm-up begins with its next answer.
+    bool isUnreachable = false;
     // How much longer the server is cold, at the time of the statement.
     duration left { 0 };
     // Time since the statement.
@@ -51,9 +56,9 @@
     void setRules(std::map<service_name, warm_up_rule> rules);
 
     // Applies the remaining time that the server's entry states. An entry that states none leaves what is known, and
-    // an unknown server counts as cold.
-    void recordEntry(
-        const instance_id& server, const service_name& service, std::optional<duration> left, time_point now);
+    // an unknown server counts as cold, as does a new process of a known one. processStart: as in listed_server.
+    void recordEntry(const instance_id& server, const service_name& service, std::optional<duration> left,
+        time_point now, int64_t processStart = 0);
 
     // Applies the remaining time that the server names in an answer. Returns whether the server has become cold or warm
     // by it.
@@ -82,7 +87,7 @@
 
     // Removes the servers that are warm by now. Called on every tick.
     void removeWarm(time_point now);
-    // Removes the servers that are no longer listed.
+    // Removes the servers that refuse connections and are no longer listed, and forgets the processes of unlisted ones.
     void removeUnlisted(const server_table& servers);
 
 private:
@@ -90,9 +95,9 @@
         service_name service;
         time_point statedAt;
         time_point until;
-        // 0: not passed on to other daemons.
+        // As in warm_up_notice.
         uint64_t statement = 0;
-        // The warm-up begins with the next answer.
+        bool isShared = false;
         bool isUnreachable = false;
     };
 
@@ -105,8 +110,10 @@
     random_source& m_random;
     std::optional<std::map<service_name, warm_up_rule>> m_rules;
     std::unordered_map<instance_id, cold_server> m_servers;
-    // When entries and answers last stated that a server is warm, so that older statements of others do not return.
+    // The time of the last statement by which a server is warm now, so that older ones of other daemons do not return.
     std::unordered_map<instance_id, time_point> m_warmSince;
+    // Start of the process of each server whose entry has been read.
+    std::unordered_map<instance_id, int64_t> m_processes;
 };
 
 } // namespace pollen
--- a/libs/scheduling/tests/warm_up_table_test.cpp
+++ b/libs/scheduling/tests/warm_up_table_test.cpp
@@ -95,6 +95,87 @@
     EXPECT_EQ(other.noticesOf({ server }, start + ms(4000)).size(), 1U);
 }
 
+// Guards against servers that stay cold for as long as two allocators ask each other over slow links: each takes the
+// other's copy of its own statement for a newer one, by the time on the way.
+TEST_F(WarmUpTableTest, AStatementThatPassesBetweenAllocatorsDoesNotBecomeNewer)
+{
+    warm_up_table other(m_random);
+    other.setRules({ { service, rule } });
+    const duration delay = ms(50);
+    m_table.recordEntry(server, service, std::nullopt, start);
+    time_point now = start;
+    const auto pass = [&](warm_up_table& from, warm_up_table& to) {
+        from.removeWarm(now);
+        const std::vector<warm_up_notice> notices = from.noticesOf({ server }, now);
+        now += delay;
+        for (const warm_up_notice& notice : notices)
+            to.merge(notice, now);
+    };
+    while (now < start + rule.time + 4 * delay) {
+        pass(m_table, other);
+        pass(other, m_table);
+    }
+    EXPECT_FALSE(isColdAt(now - start));
+}
+
+// Guards against daemons that have not tried a server while it was down, and take it for warm once it is back.
+TEST_F(WarmUpTableTest, AllDaemonsKnowOfAServerThatIsDownUntilItAnswers)
+{
+    warm_up_table other(m_random);
+    other.setRules({ { service, rule } });
+    m_table.recordEntry(server, service, ms(0), start);
+    other.recordEntry(server, service, ms(0), start);
+    m_table.recordRefusedConnection(server, service, start + ms(100));
+    const auto tellOther = [&](duration after) {
+        for (const warm_up_notice& notice : m_table.notices(start + after))
+            other.merge(notice, start + after);
+        other.removeWarm(start + after);
+    };
+    tellOther(ms(200));
+    tellOther(ms(15000));
+    EXPECT_TRUE(other.find(server)) << "warm while it is down";
+    const warm_up_notice isDown = m_table.notices(start + ms(15000)).front();
+    m_table.recordReachable(server, start + ms(15000));
+    tellOther(ms(15200));
+    EXPECT_TRUE(other.find(server));
+    tellOther(ms(18200));
+    EXPECT_FALSE(other.find(server));
+    // A daemon that was cut off meanwhile still has the older statement.
+    warm_up_notice late = isDown;
+    late.age += ms(3300);
+    other.merge(late, start + ms(18300));
+    EXPECT_FALSE(other.find(server)) << "an older statement counts";
+}
+
+// Guards against entries that are read over several pages: the server is listed only after the last page.
+TEST_F(WarmUpTableTest, AnEntryCountsBeforeTheServerIsListed)
+{
+    m_table.recordEntry(server, service, ms(3000), start);
+    m_table.removeUnlisted(server_table());
+    EXPECT_TRUE(isColdAt(ms(1000)));
+    EXPECT_FALSE(isColdAt(ms(3000)));
+    m_table.recordRefusedConnection(server, service, start + ms(3000));
+    m_table.removeUnlisted(server_table());
+    EXPECT_TRUE(m_table.empty()) << "kept for ever";
+}
+
+// Guards against warm servers that lose their part because their entry changes and states nothing on warm-up, and
+// against a new process under the same id that is taken for the former one.
+TEST_F(WarmUpTableTest, AnEntryWithoutAStatementChangesNothingUnlessTheProcessIsNew)
+{
+    server_table servers;
+    listed_server listed;
+    listed.entry.id = server;
+    servers.replaceListed({ listed });
+    m_table.recordEntry(server, service, ms(0), start, 1);
+    EXPECT_FALSE(isColdAt(ms(20000)));
+    m_table.removeUnlisted(servers);
+    m_table.recordEntry(server, service, std::nullopt, start + ms(20000), 1);
+    EXPECT_FALSE(isColdAt(ms(20000)));
+    m_table.recordEntry(server, service, std::nullopt, start + ms(40000), 2);
+    EXPECT_TRUE(isColdAt(ms(40000)));
+}
+
 // Guards against limits in deployments whose configuration has no warm-up.
 TEST_F(WarmUpTableTest, ServicesWithoutAWarmUpAreNeverCold)
 {
