Treat a status outside 100 to 599 as a malformed response

Cause: Beast accepts every status of three digits. 000 and 099 were skipped like interim responses, so that the exchange waited until its time-out; 600 and 999 were passed on to the caller. Change: message_parser reports such a status as malformed; the exchange fails before its head is reported, and its connection is reset. Evidence: HostileMessageTest.AStatusOutsideTheClassesIsMalformed and BrokenAnswerTest.AStatusOutsideTheClassesIsAFailureOfTheServer fail before (000 times out; 099 ends as connection_lost or times out; 600 and 999 are passed on) and pass after. Statuses that are not three digits were malformed already.

--- a/libs/http/src/message_parser.cpp
+++ b/libs/http/src/message_parser.cpp
@@ -13,6 +13,9 @@
 constexpr http::error framingLimit = http::error::buffer_overflow;
 // Bytes of a field line beside its name and value.
 constexpr size_t fieldLineBytes = 4;
+// Classes of status codes (RFC 9110, section 15).
+constexpr int lowestStatus = 100;
+constexpr int highestStatus = 599;
 
 bool isChunkedOnly(boost::beast::string_view value)
 {
@@ -92,6 +95,11 @@
 void message_parser<IsRequest>::on_response_impl(int code, string_view, int, error_code& problem)
 {
     problem = {};
+    // Beast accepts every status of three digits.
+    if (code < lowestStatus || code > highestStatus) {
+        problem = http::error::bad_status;
+        return;
+    }
     m_status = code;
 }
 
--- a/libs/http/tests/hostile_message_test.cpp
+++ b/libs/http/tests/hostile_message_test.cpp
@@ -178,6 +178,28 @@
     }
 }
 
+// Guards against a status below 100 that was skipped like an interim response until the time-out, and against one above
+// 599 that was passed on.
+TEST_F(HostileMessageTest, AStatusOutsideTheClassesIsMalformed)
+{
+    for (const char* status : { "000", "099", "600", "999", "99", "1000", "20", "2 0", "-20", "abc", "" }) {
+        const std::string bytes = std::string("HTTP/1.1 ") + status + " No\r\nContent-Length: 4\r\n\r\nfour";
+        scripted_server server(bytes, connection_end::KeepOpen);
+        for (size_t turn = 1; turn <= 2; ++turn) {
+            const auto [result, answer] = fetch(server, get);
+            EXPECT_EQ(result.failure, exchange_failure::MalformedResponse) << status;
+            EXPECT_FALSE(result.responseStarted) << status;
+            EXPECT_EQ(answer, http_response {}) << status;
+            EXPECT_EQ(server.connections(), turn) << "the connection must not be reused after status " << status;
+        }
+    }
+    for (const char* status : { "200", "599" }) {
+        const std::string bytes = std::string("HTTP/1.1 ") + status + " Yes\r\nContent-Length: 4\r\n\r\nfour";
+        scripted_server server(bytes, connection_end::KeepOpen);
+        EXPECT_EQ(fetch(server, get).second.status, std::stoi(status));
+    }
+}
+
 TEST_F(HostileMessageTest, AResponseToAnotherRequestIsSkipped)
 {
     const std::string late = "HTTP/1.1 200 OK\r\nX-Id: earlier\r\nContent-Length: 5\r\n\r\nwrong";
--- a/standins/tests/broken_answer_test.cpp
+++ b/standins/tests/broken_answer_test.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-// Answers the requests that it gets with fixed bytes, one after the other, and closes each connection behind them.
+// Answers the first bytes of the requests that it gets with fixed bytes, one after the other, reads no further, and
+// closes each connection behind them.
 class byte_server {
 public:
     struct reply {
@@ -34,6 +35,9 @@
         m_listener = evconnlistener_new_bind(
             loop.base(), onAccept, this, LEV_OPT_CLOSE_ON_FREE, 16, address.get(), static_cast<int>(address.length));
         socket_address bound;
+        // Small, so that most of a long upload stays unread.
+        const int receiveBufferBytes = 4096;
+        ::setsockopt(evconnlistener_get_fd(m_listener), SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(int));
         getsockname(evconnlistener_get_fd(m_listener), bound.get(), &bound.length);
         m_address = toEndpoint(bound);
     }
@@ -51,6 +55,7 @@
         const evutil_socket_t socket = bufferevent_getfd(connection);
         ::send(socket, next.bytes.data(), next.bytes.size(), MSG_NOSIGNAL);
         bufferevent_setcb(connection, nullptr, nullptr, nullptr, nullptr);
+        bufferevent_disable(connection, EV_READ);
         if (!next.reset)
             ::shutdown(socket, SHUT_WR);
         // A reset right behind the bytes would overtake them.
@@ -100,8 +105,8 @@
 class BrokenAnswerTest : public testing::Test {
 protected:
     // Sends a request to a daemon whose only server has this script.
-    told_answer send(
-        const char* target, const std::vector<byte_server::reply>& script, const http_headers& headers = {})
+    told_answer send(const char* target, const std::vector<byte_server::reply>& script,
+        const http_headers& headers = {}, const std::string& upload = "")
     {
         store_standin store(m_loop, { "127.0.0.1", 0 });
         byte_server server(m_loop, script);
@@ -112,10 +117,10 @@
         }
         fleet_daemon daemon(m_loop, m_log, m_time, store, "d1", "a");
         EXPECT_TRUE(m_loop.runUntil([&] { return daemon.relay().gateway().ready(); }, patience));
-        http_request message { "GET", target,
+        http_request message { upload.empty() ? "GET" : "POST", target,
             { { "Host", "h.example" }, { "Pollenroute-Request-Id", "id-1" }, { "Pollenroute-Deadline-Ms", "1500" },
                 { "Pollenroute-Key", "key" } },
-            "" };
+            upload };
         message.headers.insert(message.headers.end(), headers.begin(), headers.end());
         std::optional<told_answer> told;
         m_caller.fetch(daemon.address(), message, {}, [&](const exchange_result& result, const http_response& reply) {
@@ -123,6 +128,7 @@
             m_wasUnframed = result.endedWithConnection;
         });
         EXPECT_TRUE(m_loop.runUntil([&] { return told.has_value(); }, patience));
+        m_attempts = server.requests();
         return told.value_or(told_answer {});
     }
 
@@ -150,6 +156,8 @@
     http_client m_caller { m_loop };
     // Nothing but the close of its connection marked the end of the last answer.
     bool m_wasUnframed = false;
+    // Requests that the server got for the last one of the caller.
+    size_t m_attempts = 0;
 };
 
 } // namespace
@@ -231,6 +239,21 @@
     EXPECT_EQ(send("/s/x", { { unframed(event(1)), true }, { serverError } }), (told_answer { false, 200, event(1) }));
 }
 
+// Guards against a status below 100 that was waited on until the deadline, and against one above 599 that was passed
+// on.
+TEST_F(BrokenAnswerTest, AStatusOutsideTheClassesIsAFailureOfTheServer)
+{
+    for (const char* status : { "000", "099", "600", "999", "99", "1000" }) {
+        const byte_server::reply invalid { replaced(framed("no"), "200", status) };
+        EXPECT_EQ(send("/r/x", { invalid, { framed("done") } }), (told_answer { true, 200, "done" })) << status;
+        EXPECT_EQ(m_attempts, 2U) << status;
+        const told_answer once = send("/o/x", { invalid, { framed("done") } });
+        EXPECT_EQ(once.status, 502) << status;
+        EXPECT_NE(once.body, "no") << status;
+        EXPECT_EQ(m_attempts, 1U) << status;
+    }
+}
+
 // Guards against ORDER: a stream that broke off within its first event was passed on as a whole body without events,
 // although a length or a last chunk says nothing of the event.
 TEST_F(BrokenAnswerTest, AStreamThatBreaksOffWithinItsFirstEventIsRunAgain)
