Do not take an early response that ends with its connection for complete

Cause: a server that answers a long upload at once, without a length, and closes its connection in order ended the exchange with success; the relay passed the partial body on as a whole response. A write that failed on a reset ended the exchange before the response was read, so that an early refusal with a length, such as 413, could be lost. Change: client_connection notes whether part of the request was unwritten when the response began; the end of the connection does not complete such a response (ConnectionLost). After a write has failed on a connection that the server has closed, the response is read to its end first, unless no byte of the request had been written. Through the relay, BrokenAnswerTest.AnUnframedAnswerToAnUnwrittenRequestIsNotComplete fails before with the orderly close only. Held before already: connections with an unwritten request are not reused, responses that break off are lost, framed answers pass through the relay.

--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -35,6 +35,9 @@
     return std::chrono::seconds(std::atoi(std::string(value.substr(start + name.size())).c_str()));
 }
 
+// The server has closed or reset the connection, so that reading reaches its end. Other errors of a write do not tell.
+bool isClosedByServer(int socketError) { return socketError == EPIPE || socketError == ECONNRESET; }
+
 bool bodyExpected(const std::string& method) { return method == "POST" || method == "PUT" || method == "PATCH"; }
 
 void writeRequest(evbuffer* output, const http_request& request, const endpoint& server)
@@ -151,6 +154,7 @@
 void client_connection::startParser()
 {
     m_skipping = false;
+    m_beganBeforeRequestWasWritten = false;
     m_parser.emplace(static_cast<message_listener&>(*this), maximumHeaderBytes, unlimitedBodyBytes);
     if (m_noBody)
         m_parser->expectNoBody();
@@ -165,12 +169,15 @@
         setsockopt(bufferevent_getfd(m_bufferEvent), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
         return;
     }
+    // What arrived before the server closed the connection is read first: it may hold a whole response, such as a
+    // refusal of a long request. The end of the connection is reported by reading. Before the first byte of a request
+    // is written, nothing can be a response to it.
+    const bool writeFailed = (what & BEV_EVENT_WRITING) && isClosedByServer(EVUTIL_SOCKET_ERROR());
+    if (writeFailed && m_exchange && m_bytesSent > 0)
+        return;
     if (what & BEV_EVENT_EOF) {
         process();
-        // A response without a length is complete at an orderly close, but not after a reset.
-        const bool complete = m_exchange && !m_closed && m_parser && m_parser->started()
-            && m_parser->feedEof() == parse_state::Complete;
-        if (complete && !m_skipping) {
+        if (isCompleteAtClose()) {
             m_reusable = false;
             m_exchange->onComplete(true);
             return;
@@ -179,6 +186,15 @@
     fail(m_connected ? exchange_failure::ConnectionLost : exchange_failure::ConnectFailed, true);
 }
 
+// A reset, unlike an orderly close, never completes a response. A failed write consumes the error of a reset, and the
+// next read then reports an orderly close; such a response began before its request was written.
+bool client_connection::isCompleteAtClose()
+{
+    if (!m_exchange || m_closed || !m_parser || !m_parser->started() || m_skipping)
+        return false;
+    return m_parser->feedEof() == parse_state::Complete && !m_beganBeforeRequestWasWritten;
+}
+
 void client_connection::fail(exchange_failure failure, bool refused)
 {
     if (m_closed)
@@ -202,6 +218,8 @@
             close();
             return;
         }
+        if (!m_parser->started() && evbuffer_get_length(bufferevent_get_output(m_bufferEvent)) > 0)
+            m_beganBeforeRequestWasWritten = true;
         const parse_state state = m_parser->feed(input);
         if (m_closed || state == parse_state::NeedsMore)
             return;
--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -58,6 +58,8 @@
 private:
     void startParser();
     void onEvent(short what);
+    // Whether the server's orderly close completes the response that is being read.
+    bool isCompleteAtClose();
     void fail(exchange_failure failure, bool refused);
     void process();
     // Fails the exchange and returns false once more than maximumSkippedResponses precede the response.
@@ -80,6 +82,9 @@
     bool m_connectFailed = false;
     bool m_connected = false;
     bool m_hasCarriedExchange = false;
+    // The response that is being read began while part of the request was still unwritten. Without a length or chunks
+    // nothing says whether it is whole: the server may close because it gives the request up.
+    bool m_beganBeforeRequestWasWritten = false;
     bool m_reusable = false;
     bool m_closed = false;
     // The response that is being read belongs to another request.
--- a/standins/tests/broken_answer_test.cpp
+++ b/standins/tests/broken_answer_test.cpp
@@ -94,6 +94,9 @@
     return head + "Transfer-Encoding: chunked\r\n\r\n" + size.str() + "\r\n" + body + "\r\n";
 }
 
+// Within the limit of a request, and more than the socket buffers of a connection hold.
+constexpr size_t uploadBytes = 4U << 20;
+
 struct told_answer {
     bool complete = false;
     int status = 0;
@@ -254,6 +257,38 @@
     }
 }
 
+// Guards against a part of a body that was passed on as a whole response: the server answered while the request was
+// still being written, without a length, and closed or reset its connection.
+TEST_F(BrokenAnswerTest, AnUnframedAnswerToAnUnwrittenRequestIsNotComplete)
+{
+    const std::string upload(uploadBytes, 'x');
+    for (const bool reset : { false, true }) {
+        const byte_server::reply early { unframed("part"), reset };
+        EXPECT_EQ(send("/r/x", { early, { framed("done") } }, {}, upload), (told_answer { true, 200, "done" }))
+            << reset;
+        EXPECT_EQ(m_attempts, 2U) << reset;
+        const told_answer once = send("/o/x", { early, { framed("done") } }, {}, upload);
+        EXPECT_EQ(once.status, 502) << reset << once.body;
+        EXPECT_EQ(m_attempts, 1U) << reset;
+    }
+}
+
+// Guards against an early refusal of a server that is lost, because the rest of the request cannot be written.
+TEST_F(BrokenAnswerTest, AFramedAnswerToAnUnwrittenRequestIsPassedOn)
+{
+    const std::string upload(uploadBytes, 'x');
+    for (const bool reset : { false, true }) {
+        for (const char* target : { "/r/x", "/o/x" }) {
+            for (const int status : { 200, 401, 413 }) {
+                const byte_server::reply early { replaced(framed("full"), "200", std::to_string(status)), reset };
+                EXPECT_EQ(send(target, { early }, {}, upload), (told_answer { true, status, "full" }))
+                    << target << ' ' << status << ' ' << reset;
+                EXPECT_EQ(m_attempts, 1U) << target << ' ' << status << ' ' << reset;
+            }
+        }
+    }
+}
+
 // Guards against ORDER: a stream that broke off within its first event was passed on as a whole body without events,
 // although a length or a last chunk says nothing of the event.
 TEST_F(BrokenAnswerTest, AStreamThatBreaksOffWithinItsFirstEventIsRunAgain)
