pollenctl estimates: compare expected with measured waits from logs

Cause: the rank correlation of the expected wait with the measured first byte, on which placement and refusals rest, could not be computed from the daemons' logs with the project's own tools. Change: the command reads log lines from files or standard input, takes the streams that were answered at the first attempt, and prints the number of pairs, Spearman's correlation and the measured first byte by ranges of the expected wait, in all and by version. wait_estimates holds the calculation, estimate_log the reading. A command may now take a variable number of operands.

--- a/apps/pollenctl/main.cpp
+++ b/apps/pollenctl/main.cpp
@@ -91,7 +91,8 @@
     for (const auto& command : commands) {
         if (command->name() != name)
             continue;
-        if (arguments.operands.size() != command->operandCount())
+        const size_t operands = arguments.operands.size();
+        if (operands < command->operandCount() || operands > command->maximumOperandCount())
             throw ctl_error(ctl_exit::Usage, "usage: pollenctl " + name + " " + command->operands());
         command->run(arguments, std::cout);
         return static_cast<int>(ctl_exit::Ok);
--- a/libs/ctl/include/ctl/command.h
+++ b/libs/ctl/include/ctl/command.h
@@ -57,8 +57,10 @@
     // Operands as shown in the help, such as "FILE".
     virtual std::string operands() const = 0;
     virtual std::string help() const = 0;
-    // Number of operands it takes.
+    // Number of operands it needs.
     virtual size_t operandCount() const = 0;
+    // Number of operands it takes at most.
+    virtual size_t maximumOperandCount() const { return operandCount(); }
 
     // Does the work; throws ctl_error.
     virtual void run(const ctl_arguments& arguments, std::ostream& out) = 0;
--- a/libs/ctl/src/log_commands.cpp
+++ b/libs/ctl/src/log_commands.cpp
@@ -212,6 +212,7 @@
     commands.push_back(std::make_unique<explain_command>(input));
     commands.push_back(std::make_unique<causes_command>(input));
     commands.push_back(std::make_unique<timeline_command>(input));
+    commands.push_back(makeEstimatesCommand(input));
     return commands;
 }
 
