--- a/libs/scheduling/tests/warm_up_table_test.cpp
+++ b/libs/scheduling/tests/warm_up_table_test.cpp
@@ -139,4 +139,72 @@
     }
 }
 
+// Guards against warm servers that get only the rate of cold ones each time that they write their entry: once a warm-up
+// has passed, the server is no longer known, and an entry that states nothing or nothing readable counts as a new
+// server.
+TEST_F(WarmUpTableTest, AnEntryThatStatesNothingLeavesAWarmServerWarm)
+{
+    m_table.recordEntry(server, service, ms(1000), start);
+    EXPECT_FALSE(isColdAt(ms(1000)));
+    m_table.recordEntry(server, service, std::nullopt, start + ms(1500));
+    EXPECT_FALSE(isColdAt(ms(1500))) << "the warm-up has passed";
+    m_table.recordEntry(server, service, ms(0), start + ms(20000));
+    EXPECT_FALSE(isColdAt(ms(40000)));
+    m_table.recordEntry(server, service, std::nullopt, start + ms(40000));
+    EXPECT_FALSE(isColdAt(ms(40000))) << "stated as warm long ago";
+}
+
+// Guards against permits without a limit for a server that returns after an outage that was longer than its warm-up:
+// the daemon that asks knows it as unreachable, and the allocator, which never tried it, takes the notice for expired.
+TEST_F(WarmUpTableTest, AnAllocatorLearnsOfAServerThatHasBeenUnreachableForLong)
+{
+    m_table.recordRefusedConnection(server, service, start);
+    ASSERT_TRUE(isColdAt(ms(10000)));
+    warm_up_table allocator(m_random);
+    allocator.setRules({ { service, rule } });
+    for (const warm_up_notice& notice : m_table.noticesOf({ server }, start + ms(10000)))
+        allocator.merge(notice, start + ms(10000));
+    EXPECT_TRUE(allocator.find(server));
+}
+
+// Guards against a cold server that names a limit just below its own rate and gets the larger burst of that limit.
+TEST_F(WarmUpTableTest, ANamedLimitDoesNotRaiseTheBurstOfAColdServer)
+{
+    server_rate_limits limits(m_random);
+    limits.warmUps().setRules({ { service, rule } });
+    limits.warmUps().recordEntry(server, service, ms(3000), start);
+    limits.recordAnswer(server, coldRate - 0.1, start, start);
+    const auto limit = limits.limitOf(server);
+    ASSERT_TRUE(limit);
+    EXPECT_LE(limit->requestsPerSecond + limit->burst, allowedInSecond);
+}
+
+// Guards against a burst for each of the groups into which the daemons of a domain are cut: only the rate is divided
+// among them.
+TEST_F(WarmUpTableTest, TheGroupsOfADividedDomainShareItsBurst)
+{
+    server_rate_limits limits(m_random);
+    limits.warmUps().setRules({ { service, rule } });
+    limits.warmUps().recordRefusedConnection(server, service, start);
+    constexpr size_t groups = 4;
+    const failure_domain_name domain("a");
+    std::vector<permit_allocator> allocators;
+    for (size_t i = 0; i < groups; ++i) {
+        allocators.emplace_back(domain, limits);
+        allocators.back().setDomains({ domain });
+        allocators.back().setPart(1.0 / groups);
+        allocators.back().take({ server }, start);
+    }
+    // The server returns after an outage that has let every bucket fill.
+    const time_point full = start + ms(10000);
+    size_t inSecond = 0;
+    for (time_point now = full; now < full + ms(1000); now += ms(10)) {
+        for (permit_allocator& allocator : allocators) {
+            while (allocator.take({ server }, now).server)
+                ++inSecond;
+        }
+    }
+    EXPECT_LE(static_cast<double>(inSecond), allowedInSecond);
+}
+
 } // namespace pollen
