Test: a process that was paused sends to an evacuated domain

Cause: no request is held back while a daemon's orders are older than the bound. evacuationLimit only shortens the reads of the store; relay_state knows lifetimes of keys and denials alone, and a public route, or a deployment without strict-revoke, has neither.

--- a/standins/tests/evacuation_test.cpp
+++ b/standins/tests/evacuation_test.cpp
@@ -1,3 +1,4 @@
+#include "daemon_process.h"
 #include "relay_fixture.h"
 
 namespace pollen {
@@ -7,6 +8,10 @@
 // Within this time all daemons know an order; a tenth of the platform's bound.
 constexpr duration propagation = std::chrono::milliseconds(500);
 
+// `evacuate-ms` of the requirements.
+constexpr duration evacuationLimit = std::chrono::milliseconds(5000);
+constexpr int requestsAfterPause = 8;
+
 // Daemons in two failure domains before two servers of one service, one in each domain.
 class EvacuationTest : public testing::Test {
 protected:
@@ -130,6 +135,45 @@
     expectServedBy(&m_serverB);
 }
 
+// Guards against EVAC: a process that goes on after a pause sent what had arrived during the pause to the domain,
+// before it had asked for orders. The route is public, as keys that are too old refuse requests by themselves.
+TEST_F(EvacuationTest, AProcessThatWasPausedAsksBeforeItSends)
+{
+    const std::filesystem::path directory
+        = std::filesystem::temp_directory_path() / ("pollen-evacuation-" + std::to_string(getpid()));
+    std::filesystem::create_directories(directory);
+    daemon_process daemon("a9", "a", loopbackAddress(41), m_store.address(), directory.string());
+    daemon.start();
+    std::multiset<int> statuses;
+    const auto ask = [&] {
+        m_caller.fetch(daemon.callers(),
+            { "GET", "/open/x",
+                { { "Host", "h.example" }, { "Pollenroute-Request-Id", "id-" + std::to_string(++m_sent) },
+                    { "Pollenroute-Deadline-Ms", "1500" } },
+                "" },
+            {}, [&](const exchange_result&, const http_response& response) { statuses.insert(response.status); });
+        const size_t before = statuses.size();
+        return [&statuses, before] { return statuses.size() > before; };
+    };
+    const time_point givenUp = m_time.now() + patience;
+    while (!statuses.contains(200) && m_time.now() < givenUp)
+        m_loop.runUntil(ask(), patience);
+    ASSERT_TRUE(statuses.contains(200));
+    daemon.signal(SIGSTOP);
+    m_store.put("keyed.op", "evacuate/a", "{}");
+    runFor(evacuationLimit);
+    statuses.clear();
+    const size_t before = m_serverA.requests().size();
+    // The kernel accepts the requests while the process is paused.
+    for (int i = 0; i < requestsAfterPause; ++i)
+        ask();
+    runFor(std::chrono::milliseconds(50));
+    daemon.signal(SIGCONT);
+    EXPECT_TRUE(m_loop.runUntil([&] { return statuses.size() == requestsAfterPause; }, patience));
+    EXPECT_EQ(m_serverA.requests().size(), before);
+    std::filesystem::remove_all(directory);
+}
+
 // Guards against streams that are cut because their failure domain is evacuated.
 TEST_F(EvacuationTest, AStreamThatRunsInTheDomainEndsInPeace)
 {
