Send requests that wait for a slow server to another one

Cause: a request that may be repeated waits for a server that hangs until its deadline, although another server would answer. Change: slow_answer_watch applies slow_answer_policy to each attempt. A slow attempt is cancelled on its way to the first byte and sent to another server of the same version that is not cold, limited or tried, within max-attempts, the retry budget and the operators' limit; none while a roll-out of the service runs.

--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -84,10 +84,11 @@
     , m_logBudget(logLinesPerSecond)
     , m_failureLogBudget(failureLogLinesPerSecond)
     , m_serverEnds(m_crashes, m_state, m_probe, m_metrics, m_failureLogBudget, time, log)
+    , m_slowAnswers(settings.slowAnswerExtraRequests)
     , m_shared { loop, time, m_random, log, m_client, m_probe, m_protocol, settings.failureDomain, m_state, m_rollouts,
         m_rolloutSystem, m_sessions, m_servers, m_crashes, m_serverEnds, m_escalation, m_largestPace, m_repeats,
         m_rateLimits, m_permits, m_answerMemory, m_metrics, m_logBudget, m_failureLogBudget, m_usualLatency,
-        m_usualPace }
+        m_usualPace, m_slowAnswers }
     , m_gateway(m_shared)
 {
 }
--- a/apps/pollenrouted/platform_relay.h
+++ b/apps/pollenrouted/platform_relay.h
@@ -79,6 +79,7 @@
     crash_detector m_serverEnds;
     latency_baseline m_usualLatency;
     pace_baseline m_usualPace;
+    slow_answer_policy m_slowAnswers;
     platform_protocol m_protocol;
     relay_dependencies m_shared;
     relay_gateway m_gateway;
--- a/libs/relay/include/relay/relay_dependencies.h
+++ b/libs/relay/include/relay/relay_dependencies.h
@@ -21,6 +21,7 @@
 #include <scheduling/fleet_retry_budget.h>
 #include <scheduling/placement.h>
 #include <scheduling/server_rate_limits.h>
+#include <scheduling/slow_answer_policy.h>
 
 namespace pollen {
 
@@ -54,6 +55,7 @@
     // First-byte latencies of versions that are not being rolled out.
     latency_baseline& usualLatency;
     pace_baseline& usualPace;
+    slow_answer_policy& slowAnswers;
 };
 
 } // namespace pollen
--- a/libs/relay/include/relay/relay_metrics.h
+++ b/libs/relay/include/relay/relay_metrics.h
@@ -27,6 +27,9 @@
     // A repeat is a further attempt of a request that has already reached a server. outcome: "sent", or "denied" if
     // the repeat allowance is exhausted.
     void countRepeat(const std::string& service, const std::string& outcome);
+    // A repeat because of a slow server. outcome: "sent", "denied_by_limit" (the operators' limit is used up),
+    // "denied_by_retry_budget", or "won" once a repeat that was sent is answered in time.
+    void countSlowAnswerRepeat(const std::string& service, const std::string& outcome);
     // A server may have crashed while it ran a request. sign: the symptom, such as a lost connection. verdict: the
     // result of the check.
     void countServerCrash(const std::string& service, const std::string& sign, const std::string& verdict);
@@ -54,6 +57,7 @@
     prometheus::Family<prometheus::Counter>& m_limitedSends;
     prometheus::Family<prometheus::Counter>& m_permits;
     prometheus::Family<prometheus::Counter>& m_repeats;
+    prometheus::Family<prometheus::Counter>& m_slowAnswerRepeats;
     prometheus::Family<prometheus::Counter>& m_serverCrashes;
     prometheus::Family<prometheus::Counter>& m_serverStatements;
     prometheus::Family<prometheus::Counter>& m_brokenStreams;
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -81,6 +81,7 @@
     , m_eventMemory(dependencies.answerMemory)
     , m_firstByteTimer(dependencies.usualLatency, dependencies.rollouts, dependencies.rolloutSystem)
     , m_paceTimer(dependencies.usualPace, dependencies.rollouts, dependencies.rolloutSystem)
+    , m_slowAnswers(dependencies)
 {
 }
 
@@ -130,6 +131,7 @@
         return;
     }
     m_firstByteTimer.tick(now);
+    repeatIfSlow(now);
     // Requests that may not be repeated gain nothing from detecting a silent server early.
     if (!m_exchange || m_paused || !m_admission.route->mayRepeat() || !m_silence.isProbeDue(now))
         return;
@@ -146,14 +148,19 @@
         });
 }
 
-void relay_exchange::endWithDaemon()
+void relay_exchange::cancelAttempts()
 {
-    const auto self = shared_from_this();
     m_awaitsFleetState = false;
     m_awaitsPermit = false;
     m_retryAt.reset();
     m_exchange.reset();
     releaseServer();
+}
+
+void relay_exchange::endWithDaemon()
+{
+    const auto self = shared_from_this();
+    cancelAttempts();
     discardAnswer(stoppingReason);
     m_lastReason = stoppingReason;
     if (m_streamStarted) {
@@ -170,11 +177,7 @@
 void relay_exchange::abandon()
 {
     m_onEnd = nullptr;
-    m_awaitsFleetState = false;
-    m_awaitsPermit = false;
-    m_retryAt.reset();
-    m_exchange.reset();
-    releaseServer();
+    cancelAttempts();
     m_body.clear();
     m_eventMemory.resize(0);
     m_request->setHangUpCallback(nullptr);
@@ -378,6 +381,10 @@
     order.server = m_serverId;
     order.timeLeft = timeLeft();
     m_silence.start(m_sentAt, choice.wait, order.timeLeft);
+    const relay_route& route = *m_admission.route;
+    m_slowAnswers.start({ m_service, placement.model, m_serverId, choice.wait, m_start, route.latencyObjective,
+                            m_admission.deadline, route.mayRepeat() },
+        m_sentAt);
     if (m_admission.team)
         order.team = m_admission.team->name;
     order.model = placement.model;
@@ -397,9 +404,9 @@
 }
 
 // Attempts that reached no server, or that a server rejected, have a limit of their own, which is higher.
-bool relay_exchange::hasAttemptsLeft() const
+bool relay_exchange::hasAttemptsLeft(uint32_t further) const
 {
-    return m_runs < m_admission.route->maximumAttempts
+    return m_runs + further < m_admission.route->maximumAttempts
         && m_attempts < m_admission.route->maximumAttempts + maximumExtraAttempts && timeLeft() > minimumTimeLeft;
 }
 
@@ -428,6 +435,7 @@
     if (!claimsNotRun) {
         m_firstByteTime = now - m_sentAt;
         m_firstByteTimer.stop(now);
+        m_slowAnswers.stop(now, status < firstServerErrorStatus);
     } else if (!m_isRefusal) {
         m_exchange->closeWhenFinished();
     }
@@ -477,21 +485,41 @@
         m_model = model;
         return false;
     }
-    escalate(*choice, placement);
+    m_triedServers.clear();
+    sendInstead(*choice, placement, "escalated");
     return true;
 }
 
-void relay_exchange::escalate(const placement_choice& choice, const placement_request& placement)
+void relay_exchange::sendInstead(const placement_choice& choice, const placement_request& placement, const char* reason)
 {
     // Cancels the current run immediately, so that the server generates no further tokens.
     m_exchange.reset();
     releaseServer();
-    recordAttemptEnd("escalated");
-    m_triedServers.clear();
-    m_lastReason = "escalated";
+    recordAttemptEnd(reason);
+    m_lastReason = reason;
     send(choice, placement);
 }
 
+void relay_exchange::repeatIfSlow(time_point now)
+{
+    // Servers that are no longer among the tried ones, as after an escalation, could get the request twice.
+    if (!m_exchange || m_status != 0 || m_streamStarted || !m_slowAnswers.checkIsSlow(now)
+        || m_triedServers.size() != m_attempts || !hasAttemptsLeft(1)
+        || m_dependencies.crashDetector.mayNotRunAgain(m_admission.fingerprint, m_admission.parts))
+        return;
+    placement_request placement = makePlacementRequest(m_dependencies, *m_admission.route, m_traits, m_model, m_start);
+    placement.excluded = m_triedServers;
+    placement.onlyVersion = m_version;
+    excludeLimitedServers(placement);
+    const auto choice = m_slowAnswers.chooseServer(placement, *m_admission.configuration, m_traits.id, now);
+    if (!choice)
+        return;
+    // The cancelled attempt counts as a first byte that took at least this long.
+    m_firstByteTimer.stop(now);
+    ++m_runs;
+    sendInstead(*choice, placement, "slow_answer");
+}
+
 // The request may return to the smallest model if a larger one could not answer.
 bool relay_exchange::canFallBack() const
 {
@@ -879,11 +907,7 @@
 void relay_exchange::onCallerGone()
 {
     const auto self = shared_from_this();
-    m_awaitsFleetState = false;
-    m_awaitsPermit = false;
-    m_retryAt.reset();
-    m_exchange.reset();
-    releaseServer();
+    cancelAttempts();
     end("caller_gone");
 }
 
--- a/libs/relay/src/relay_exchange.h
+++ b/libs/relay/src/relay_exchange.h
@@ -14,6 +14,7 @@
 #include <relay/memory_reservation.h>
 #include <relay/pace_timer.h>
 #include <relay/relay_dependencies.h>
+#include <relay/slow_answer_watch.h>
 #include <relay/stall_detector.h>
 
 namespace pollen {
@@ -45,6 +46,8 @@
     void onData(std::string_view bytes) override;
     void onFinished(const exchange_result& result) override;
 
+    // Cancels the current attempt, if there is one, and whatever the next one waits for.
+    void cancelAttempts();
     void attempt();
     // Admits the request and makes its first attempt, unless it waits for the fleet state.
     void admitAndAttempt();
@@ -82,9 +85,13 @@
     void discardAnswer(const char* reason);
     // Logs and counts that the current run of a stream is not whole.
     void recordBrokenStream(const char* reason);
-    bool hasAttemptsLeft() const;
+    // further: attempts that are to be counted as runs in addition to those that are.
+    bool hasAttemptsLeft(uint32_t further = 0) const;
     bool tryEscalation();
-    void escalate(const placement_choice& choice, const placement_request& placement);
+    // Cancels the current attempt and sends the request to this server instead.
+    void sendInstead(const placement_choice& choice, const placement_request& placement, const char* reason);
+    // Sends the request to another server if the current attempt is slow and a repeat is allowed.
+    void repeatIfSlow(time_point now);
     bool canFallBack() const;
     void fallBack();
     // Starts another attempt if the request may be sent again, or fails the request. arrived: the last attempt reached
@@ -197,6 +204,7 @@
     stall_detector m_silence;
     first_byte_timer m_firstByteTimer;
     pace_timer m_paceTimer;
+    slow_answer_watch m_slowAnswers;
 };
 
 } // namespace pollen
--- a/libs/relay/src/relay_metrics.cpp
+++ b/libs/relay/src/relay_metrics.cpp
@@ -32,6 +32,10 @@
                     .Name("pollen_relay_repeats_total")
                     .Help("Requests to be sent once more after they had arrived at a server")
                     .Register(m_registry))
+    , m_slowAnswerRepeats(prometheus::BuildCounter()
+                              .Name("pollen_relay_slow_answer_repeats_total")
+                              .Help("Requests to be sent to another server because the first one is slow")
+                              .Register(m_registry))
     , m_serverCrashes(prometheus::BuildCounter()
                           .Name("pollen_relay_server_ends_total")
                           .Help("Servers that may have ended while they ran a request, by what was found out")
@@ -117,6 +121,11 @@
     m_repeats.Add({ { "service", service }, { "outcome", outcome } }).Increment();
 }
 
+void relay_metrics::countSlowAnswerRepeat(const std::string& service, const std::string& outcome)
+{
+    m_slowAnswerRepeats.Add({ { "service", service }, { "outcome", outcome } }).Increment();
+}
+
 void relay_metrics::countServerCrash(const std::string& service, const std::string& sign, const std::string& verdict)
 {
     m_serverCrashes.Add({ { "service", service }, { "sign", sign }, { "verdict", verdict } }).Increment();
