Let the soak of a site learn evacuation and warm-up

Cause: the soak knew neither orders of evacuation nor cold servers. Change: orders come and are withdrawn while other faults go on; servers that start during traffic are cold and say so in their entry or in their answers. Nothing may reach an evacuated domain after 5 s plus the time of trouble with the store; a cold server may get 13 requests in a second. What may have waited at a frozen server is not counted. The small site runs for 15 s instead of 9, as an order has to outlast its bound; these draws have a random source of their own.

--- a/standins/tests/daemon_process.h
+++ b/standins/tests/daemon_process.h
@@ -61,7 +61,8 @@
              << peerPort + 15 << "]\n[listen]\nfront = \"" << m_address << ":" << callerPort << "\"\nready = \""
              << m_address << ":" << readinessPort << "\"\n[bounds]\nconfig-apply-ms = 2000\ndrain-ms = 2000\n"
              << "grace-s = 4\nstrict-revoke = true\nrevoke-ms = 5000\nretry-ratio = 0.9\nretry-slack = 58\n"
-             << "retry-window-s = 10\nexposure-share = 0.15\nexposure-slack = 30\nsession-s = 5\n[platform]\n"
+             << "retry-window-s = 10\nexposure-share = 0.15\nexposure-slack = 30\nsession-s = 5\nevacuate-ms = 5000\n"
+             << "cold-overshoot = 1.5\ncold-slack = 5\n[platform]\n"
              << "address = \"" << store.text()
              << "\"\n[limits]\ncpu-share = 0.25\ncores = 1\nmemory-mb = 260\nmax-fds = 4100\n"
              << "link-mbps = 1000.0\ndisk-mb = 0\n";
--- a/standins/tests/queueing_server.h
+++ b/standins/tests/queueing_server.h
@@ -53,6 +53,19 @@
     const endpoint& address() const { return m_address; }
     bool isStopped() const { return !m_listener; }
 
+    // How the server tells that it is cold: in its entry only, or in its answers only.
+    enum class cold_channel { Entry, Header };
+    void setCold(time_point until, cold_channel channel)
+    {
+        m_coldUntil = until;
+        m_coldChannel = channel;
+    }
+    cold_channel coldChannel() const { return m_coldChannel; }
+    bool isCold() const { return m_time.now() < m_coldUntil; }
+    int64_t coldMilliseconds() const { return std::max<int64_t>(toMilliseconds(m_coldUntil - m_time.now()), 0); }
+    // Called with each request that was meant for this server, unless it may have waited while the server was frozen.
+    void setArrivalCallback(std::function<void()> callback) { m_onArrival = std::move(callback); }
+
     // The process ends: nothing that waits is run any more.
     void stop(bool reset)
     {
@@ -71,6 +84,7 @@
         if (!m_listener || m_frozen == frozen)
             return;
         m_frozen = frozen;
+        m_thawedAt = m_time.now();
         (frozen ? evconnlistener_disable : evconnlistener_enable)(m_listener);
         if (frozen)
             return;
@@ -86,6 +100,8 @@
     }
 
 private:
+    // What arrived while the server was frozen is taken up within this time.
+    static constexpr duration thawTime = std::chrono::milliseconds(300);
     static constexpr int shortBacklog = 2;
     static constexpr int usualBacklog = 128;
     static constexpr const char* notExecuted = "Pollenroute-Not-Executed: 1\r\n";
@@ -251,6 +267,8 @@
             finish(taken);
             return;
         }
+        if (m_onArrival && m_time.now() - m_thawedAt > thawTime)
+            m_onArrival();
         if (draw(100) < 3 || (m_running.size() >= m_sheet.slots && m_waiting.size() >= m_sheet.queueLength)) {
             refuse(taken);
             return;
@@ -315,8 +333,11 @@
     std::string head(const std::string& id, const std::string& status, const std::string& more) const
     {
         const std::string name = id.empty() ? "" : "Pollenroute-Request-Id: " + id + "\r\n";
-        return "HTTP/1.1 " + status + "\r\n" + name + "Pollenroute-Response-Seal: seal-" + id + "\r\n" + load() + more
-            + "\r\n";
+        return "HTTP/1.1 " + status + "\r\n" + name + "Pollenroute-Response-Seal: seal-" + id + "\r\n" + load()
+            + (isCold() && m_coldChannel == cold_channel::Header
+                    ? "Pollenroute-Cold-Ms: " + std::to_string(coldMilliseconds()) + "\r\n"
+                    : "")
+            + more + "\r\n";
     }
 
     std::string whole(
@@ -474,6 +495,10 @@
     std::set<job_handle> m_running;
     std::deque<job_handle> m_waiting;
     std::vector<std::shared_ptr<std::unique_ptr<timer>>> m_late;
+    time_point m_coldUntil {};
+    cold_channel m_coldChannel = cold_channel::Entry;
+    time_point m_thawedAt {};
+    std::function<void()> m_onArrival;
     bool m_frozen = false;
 };
 
--- a/standins/tests/site_sheet.h
+++ b/standins/tests/site_sheet.h
@@ -32,7 +32,7 @@
 {
     using namespace std::chrono_literals;
     if (name == "small")
-        return { name, 9, 4, 6, 6, 24, 60ms, 200, 4, 300ms, 9s };
+        return { name, 9, 4, 6, 6, 24, 60ms, 200, 4, 300ms, 15s };
     if (name == "large")
         return { name, 100, 6, 20, 6, 24, 60ms, 500, 4, 100ms, 30s };
     throw std::invalid_argument("no such site: " + name);
--- a/standins/tests/site_soak_test.cpp
+++ b/standins/tests/site_soak_test.cpp
@@ -17,6 +17,11 @@
 constexpr duration entryLife = heartbeat * 3;
 // The address of a server that has gone may be used again after this time.
 constexpr duration addressRest = std::chrono::seconds(2);
+// The bound of an evacuation in the daemons' settings. It is extended by the time for which the store was in trouble.
+constexpr duration evacuationBound = std::chrono::seconds(5);
+constexpr duration coldTime = std::chrono::seconds(3);
+// By the daemons' settings and the configuration: 5.6 requests a second, times 1.5, and five more.
+constexpr size_t allowedOfColdServer = 13;
 constexpr duration rushEvery = std::chrono::seconds(3);
 constexpr size_t maximumOpenRequests = 3000;
 constexpr size_t maximumTraces = 5;
@@ -39,8 +44,8 @@
 "max-attempts":3,"priority":1},
 {"name":"read","host":"h.example","path-prefix":"/r/","kind":"idempotent","timeout-ms":2000,"service":"stock",
 "max-attempts":3}],
-"services":[{"name":"desk","max-conns":1000,"health-path":"/health"},
-{"name":"stock","max-conns":1000,"health-path":"/health"}]})";
+"services":[{"name":"desk","max-conns":1000,"health-path":"/health","cold-start-s":3.0,"cold-per-s":5.6},
+{"name":"stock","max-conns":1000,"health-path":"/health","cold-start-s":3.0,"cold-per-s":5.6}]})";
 
 bool isPromise(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
@@ -51,6 +56,7 @@
     site_soak(const site_sheet& sheet, uint64_t seed)
         : m_sheet(sheet)
         , m_random(seed)
+        , m_evacuationRandom(seed)
         , m_directory(std::filesystem::temp_directory_path() / ("pollen-site-" + std::to_string(::getpid())))
     {
         std::filesystem::create_directories(m_directory);
@@ -84,6 +90,7 @@
         m_begin = m_time.now();
         m_sender.startRepeating(sendInterval);
         m_heart.startRepeating(heartbeat);
+        evacuate();
         while (m_time.now() < m_begin + m_sheet.runTime) {
             disturb();
             runFor(m_sheet.disturbancePause * (1 + draw(10)) / 10);
@@ -130,6 +137,12 @@
         for (const auto& [status, count] : statuses)
             std::cout << " " << status << ":" << count;
         std::cout << std::endl;
+        std::cout << "evacuated domains: requests " << m_beforeBound << " within the bound, " << m_afterBound
+                  << " after it, servers checked for " << toMilliseconds(m_checkedTime)
+                  << " ms; cold servers: " << m_coldRequests << " requests, most in a second " << m_mostInSecond
+                  << std::endl;
+        EXPECT_EQ(m_afterBound, 0U) << "EVAC";
+        EXPECT_LE(m_mostInSecond, allowedOfColdServer) << "FAILBACK";
         EXPECT_EQ(twice + refused, 0U);
         EXPECT_GT(statuses["200"], m_record.told().size() / 10) << "the run shows little";
     }
@@ -137,6 +150,11 @@
 private:
     static constexpr duration sendInterval = std::chrono::milliseconds(5);
 
+    struct evacuation_order {
+        time_point since;
+        // See troubleTime().
+        duration troubleBefore { 0 };
+    };
     struct resting_address {
         endpoint address;
         time_point freeAt;
@@ -182,7 +200,12 @@
 
     void writeEntry(const queueing_server& server, const char* state)
     {
-        m_store.put("keyed.servers", server.id(), serverEntry(server.service().c_str(), server.address(), state));
+        std::string entry = replaced(serverEntry(server.service().c_str(), server.address(), state), "\"zone\":\"a\"",
+            "\"zone\":\"" + m_domains.at(&server) + "\"");
+        if (!server.isCold() || server.coldChannel() == queueing_server::cold_channel::Entry)
+            entry = replaced(
+                entry, "\"seq\"", "\"cold-left-ms\":" + std::to_string(server.coldMilliseconds()) + ",\"seq\"");
+        m_store.put("keyed.servers", server.id(), entry);
     }
 
     // Some servers take over the address of one that has gone.
@@ -205,10 +228,69 @@
         const std::string id = "i-" + service + "-" + std::to_string(++m_started);
         m_servers.push_back(
             std::make_unique<queueing_server>(m_loop, m_random, m_record, m_sheet, id, service, address));
-        writeEntry(*m_servers.back(), "ready");
+        queueing_server& server = *m_servers.back();
+        m_domains[&server] = std::string(1, static_cast<char>('a' + m_started % m_sheet.failureDomains));
+        // Servers that start during traffic are cold.
+        if (m_begin != time_point {})
+            server.setCold(m_time.now() + coldTime,
+                m_started % 2 == 0 ? queueing_server::cold_channel::Header : queueing_server::cold_channel::Entry);
+        server.setArrivalCallback([this, &server] { recordArrival(server); });
+        writeEntry(server, "ready");
         m_active.insert(m_servers.back().get());
     }
 
+    // Orders the evacuation of a domain and withdraws it; the next order comes before that.
+    void evacuate()
+    {
+        const size_t number = std::uniform_int_distribution<size_t>(0, m_sheet.failureDomains - 1)(m_evacuationRandom);
+        const std::string domain(1, static_cast<char>('a' + number));
+        const auto pause = [&] {
+            return std::chrono::milliseconds(std::uniform_int_distribution<int>(2000, 4000)(m_evacuationRandom));
+        };
+        if (!m_orders.contains(domain)) {
+            m_store.put("keyed.op", "evacuate/" + domain, "{}");
+            m_orders[domain] = { m_time.now(), troubleTime() };
+            after(evacuationBound + pause(), [this, domain] {
+                const duration checked = m_time.now() - boundOf(m_orders.at(domain));
+                m_checkedTime += std::max(checked, duration(0));
+                m_store.put("keyed.op", "evacuate/" + domain, std::nullopt);
+                m_orders.erase(domain);
+            });
+        }
+        after(pause(), [this] { evacuate(); });
+    }
+
+    // For how long the store has been in trouble since the start.
+    duration troubleTime() const
+    {
+        return m_troubleTime + (m_troubleSince ? m_time.now() - *m_troubleSince : duration(0));
+    }
+    void setTrouble(int64_t kind)
+    {
+        m_store.set("outage", kind);
+        m_troubleTime = troubleTime();
+        m_troubleSince = kind == 0 ? std::nullopt : std::optional(m_time.now());
+    }
+    time_point boundOf(const evacuation_order& order) const
+    {
+        return order.since + evacuationBound + troubleTime() - order.troubleBefore;
+    }
+
+    void recordArrival(const queueing_server& server)
+    {
+        const time_point now = m_time.now();
+        if (const auto order = m_orders.find(m_domains.at(&server)); order != m_orders.end())
+            ++(now > boundOf(order->second) ? m_afterBound : m_beforeBound);
+        if (!server.isCold())
+            return;
+        ++m_coldRequests;
+        std::deque<time_point>& second = m_lastSecond[&server];
+        second.push_back(now);
+        while (now - second.front() >= std::chrono::seconds(1))
+            second.pop_front();
+        m_mostInSecond = std::max(m_mostInSecond, second.size());
+    }
+
     queueing_server& drawServer() { return **std::next(m_active.begin(), static_cast<long>(draw(m_active.size()))); }
 
     void stopServer(queueing_server& server, bool reset)
@@ -289,8 +371,8 @@
             writeConfiguration();
             return;
         default:
-            m_store.set("outage", static_cast<int64_t>(draw(3)));
-            after(std::chrono::milliseconds(200 + draw(2000)), [this] { m_store.set("outage", 0); });
+            setTrouble(static_cast<int64_t>(draw(3)));
+            after(std::chrono::milliseconds(200 + draw(2000)), [this] { setTrouble(0); });
             return;
         }
     }
@@ -373,11 +455,23 @@
     event_loop m_loop;
     os_clock m_time;
     random_source m_random;
+    // Of its own, so that the other draws of a seed stay as they are.
+    random_source m_evacuationRandom;
     std::filesystem::path m_directory;
     store_standin m_store { m_loop, { "127.0.0.1", 0 } };
     request_record m_record;
     std::vector<std::unique_ptr<queueing_server>> m_servers;
     std::set<queueing_server*> m_active;
+    std::map<const queueing_server*, std::string> m_domains;
+    std::map<std::string, evacuation_order> m_orders;
+    std::map<const queueing_server*, std::deque<time_point>> m_lastSecond;
+    duration m_troubleTime { 0 };
+    std::optional<time_point> m_troubleSince;
+    duration m_checkedTime { 0 };
+    size_t m_beforeBound = 0;
+    size_t m_afterBound = 0;
+    size_t m_coldRequests = 0;
+    size_t m_mostInSecond = 0;
     std::vector<resting_address> m_addresses;
     http_client m_client { m_loop };
     std::vector<std::unique_ptr<daemon_process>> m_daemons;
