--- a/apps/pollenrouted/platform_relay.cpp
+++ b/apps/pollenrouted/platform_relay.cpp
@@ -39,6 +39,7 @@
     relay_state::lifetimes lifetimes;
     if (settings.revocationLimit)
         lifetimes.keys = *settings.revocationLimit - revocationMargin;
+    lifetimes.orders = settings.evacuationLimit;
     lifetimes.denials
         = std::chrono::duration_cast<duration>(settings.configurationLimit * denialShareOfConfigurationLimit);
     return lifetimes;
--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -36,6 +36,8 @@
     // The request had been written to an earlier connection, which broke. What became of it there is not known,
     // whatever the response says.
     bool repeated = false;
+    // Nothing accepts connections at the server's address, as opposed to a connection that broke before it was used.
+    bool connectionRefused = false;
 
     bool ok() const { return failure == exchange_failure::None; }
 
--- a/libs/relay/include/relay/relay_state.h
+++ b/libs/relay/include/relay/relay_state.h
@@ -16,6 +16,8 @@
         std::optional<duration> keys;
         // To deny what it does not contain.
         duration denials { 0 };
+        // To send requests without asking for newer orders to evacuate failure domains; none for no limit.
+        std::optional<duration> orders {};
     };
 
     explicit relay_state(const lifetimes& lifetimes)
@@ -49,6 +51,12 @@
         return m_configuration ? m_configurationConfirmedAt + m_lifetimes.denials : time_point::min();
     }
 
+    // The operators' orders are so old that a failure domain may be under evacuation without this daemon's knowledge.
+    bool ordersOutdated(time_point now) const
+    {
+        return m_lifetimes.orders && configurationAge(now) > *m_lifetimes.orders;
+    }
+
     // Begins the wait for a newer confirmation, or goes on with it. Returns false once it has lasted for as long as
     // fleet_sync needs to look for another source; the next confirmation ends the wait.
     bool waitForConfirmation(time_point now);
--- a/libs/relay/src/admission.cpp
+++ b/libs/relay/src/admission.cpp
@@ -94,6 +94,14 @@
     found.refused = findTeam(found, dependencies.state, traits, now, arrival);
     if (found.refused)
         return found;
+    // After a pause of the process newer orders are a moment away. A daemon that has lost its sources goes on.
+    if (dependencies.state.ordersOutdated(arrival) && dependencies.state.waitForConfirmation(now)) {
+        found.refused = refusal { .status = statusUnavailable,
+            .type = "orders_outdated",
+            .retryAfter = retryAfterOutdated,
+            .awaitsFleetState = true };
+        return found;
+    }
     const duration callerTimeout = traits.timeLeft.value_or(defaultDeadline);
     const duration routeTimeout = found.route->timeout;
     found.deadline = arrival + (routeTimeout.count() > 0 ? std::min(callerTimeout, routeTimeout) : callerTimeout);
--- a/libs/relay/src/permit_system.cpp
+++ b/libs/relay/src/permit_system.cpp
@@ -144,7 +144,9 @@
     const auto own = static_cast<double>(m_members.size() + 1);
     const auto partBeside = [&](size_t others) { return own / (own + static_cast<double>(others)); };
     // A cold server falls over if both sides of a long partition send it the share of the whole domain.
-    m_allocator.setPart(partBeside(countOthers(maximumSilence, now)), partBeside(countOthers(duration::max(), now)));
+    // Until the list of daemons has been read, there may be any number of others.
+    const double strictPart = m_store.daemonsKnown() ? partBeside(countOthers(duration::max(), now)) : 0;
+    m_allocator.setPart(partBeside(countOthers(maximumSilence, now)), strictPart);
 }
 
 void permit_system::removeOverdue(time_point now)
--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -763,7 +763,7 @@
     const time_point now = m_dependencies.time.now();
     const bool timedOut = result.failure == exchange_failure::TimedOut;
     server_table& servers = m_dependencies.state.servers();
-    if (result.failure == exchange_failure::ConnectFailed && result.refused)
+    if (result.connectionRefused)
         m_dependencies.rateLimits.warmUps().recordRefusedConnection(m_serverId, m_service, now);
     if (result.failure == exchange_failure::ConnectFailed)
         servers.reportUnreachable(*m_server, now);
--- a/libs/scheduling/src/permit_allocator.cpp
+++ b/libs/scheduling/src/permit_allocator.cpp
@@ -22,7 +22,11 @@
     if (rank >= sharing)
         return {};
     const auto parts = static_cast<double>(sharing);
-    return { limit.requestsPerSecond / parts * (limit.isStrict ? m_strictPart : m_part), limit.burst / parts };
+    if (!limit.isStrict)
+        return { limit.requestsPerSecond / parts * m_part, limit.burst / parts };
+    // Groups that do not hear of each other share the burst as well. A group holds one permit at least, which takes the
+    // longer to accumulate the smaller its part is.
+    return { limit.requestsPerSecond / parts * m_strictPart, std::max(limit.burst / parts * m_strictPart, 1.0) };
 }
 
 permit_decision permit_allocator::take(const std::vector<instance_id>& servers, time_point now)
--- a/libs/scheduling/src/server_rate_limits.cpp
+++ b/libs/scheduling/src/server_rate_limits.cpp
@@ -53,9 +53,11 @@
         limit = send_limit { rate, rate + additionalPermits };
     }
     const auto cold = m_warmUps.find(server);
-    if (cold && (!limit || cold->requestsPerSecond < limit->requestsPerSecond))
-        limit = send_limit { cold->requestsPerSecond, cold->burst, true };
-    return limit;
+    if (!cold)
+        return limit;
+    const send_limit named = limit.value_or(send_limit { cold->requestsPerSecond, cold->burst });
+    return send_limit { std::min(named.requestsPerSecond, cold->requestsPerSecond), std::min(named.burst, cold->burst),
+        true };
 }
 
 std::vector<rate_limit_notice> server_rate_limits::notices(time_point now) const
--- a/libs/scheduling/src/warm_up_table.cpp
+++ b/libs/scheduling/src/warm_up_table.cpp
@@ -105,7 +105,12 @@
 std::optional<warm_up_rule> warm_up_table::find(const instance_id& server) const
 {
     const auto known = m_servers.find(server);
-    const warm_up_rule* rule = known == m_servers.end() ? nullptr : ruleOf(known->second.service);
+    if (known == m_servers.end())
+        return std::nullopt;
+    // A daemon that does not know the rules yet may allocate permits for others, and grants none.
+    if (!m_rules)
+        return warm_up_rule { maximumWarmUp, 0, 0 };
+    const warm_up_rule* rule = ruleOf(known->second.service);
     return rule ? std::optional(*rule) : std::nullopt;
 }
 
--- a/libs/scheduling/tests/warm_up_table_test.cpp
+++ b/libs/scheduling/tests/warm_up_table_test.cpp
@@ -273,7 +273,7 @@
     for (size_t i = 0; i < groups; ++i) {
         allocators.emplace_back(domain, limits);
         allocators.back().setDomains({ domain });
-        allocators.back().setPart(1.0 / groups);
+        allocators.back().setPart(1.0 / groups, 1.0 / groups);
         allocators.back().take({ server }, start);
     }
     // The server returns after an outage that has let every bucket fill.
