--- a/standins/tests/daemon_process.h
+++ b/standins/tests/daemon_process.h
@@ -69,19 +69,23 @@
     }
     const std::string& settingsFile() const { return m_settingsFile; }
 
-    void start()
+    // arguments: follow the program's name; none for the platform's settings.
+    void start(const std::vector<std::string>& arguments = {})
     {
         m_logSize = logSize();
         const std::string variable = "POLLENROUTE_CONFIG=" + m_settingsFile;
         const std::string program = daemonProgram();
-        char* arguments[] = { const_cast<char*>(program.c_str()), nullptr };
+        std::vector<char*> argumentVector { const_cast<char*>(program.c_str()) };
+        for (const std::string& argument : arguments)
+            argumentVector.push_back(const_cast<char*>(argument.c_str()));
+        argumentVector.push_back(nullptr);
         char* environment[] = { const_cast<char*>(variable.c_str()), nullptr };
         posix_spawn_file_actions_t actions;
         posix_spawn_file_actions_init(&actions);
         posix_spawn_file_actions_addopen(
             &actions, STDOUT_FILENO, m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-        ASSERT_EQ(posix_spawn(&m_process, program.c_str(), &actions, nullptr, arguments, environment), 0);
+        ASSERT_EQ(posix_spawn(&m_process, program.c_str(), &actions, nullptr, argumentVector.data(), environment), 0);
         posix_spawn_file_actions_destroy(&actions);
     }
 
@@ -117,6 +121,8 @@
     bool hasBegun() { return isRunning() && logSize() > m_logSize; }
 
     const std::string& id() const { return m_id; }
+    // Id of the running process; 0 if there is none.
+    pid_t process() const { return m_process; }
     // Signal that ended the last process; 0 if it exited by itself.
     int endedBySignal() const { return m_endedBySignal; }
     const std::string& logFile() const { return m_logFile; }
