Apply limits over all connections in http_server

Bodies, fields, unparsed input, pipelined bytes and unread responses count against a budget shared by the servers of a process; what it refuses gets 503, not run, Retry-After. The next pipelined request waits until the response before it has left, and input behind it is bounded also while no request runs. A refused request frees its memory at once instead of at the end of its connection. Fields count as they arrive: 800 heads of 3,900 short fields peaked at 189 MiB while they counted only from the end of the head.

--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -3,6 +3,7 @@
 #include <base/clock.h>
 #include <base/endpoint.h>
 #include <functional>
+#include <http/connection_budget.h>
 #include <http/event_loop.h>
 #include <http/http_message.h>
 #include <memory>
@@ -64,8 +65,10 @@
 public:
     using handler = std::function<void(std::shared_ptr<server_request>)>;
 
-    // Binds and listens; throws system_error on failure. Port 0 selects any free port.
-    http_server(event_loop& loop, const endpoint& listenAddress, const http_server_limits& limits, handler handler);
+    // Binds and listens; throws system_error on failure. Port 0 selects any free port. budget: the limits over all
+    // connections, shared by the servers of a process; none if null.
+    http_server(event_loop& loop, const endpoint& listenAddress, const http_server_limits& limits, handler handler,
+        std::shared_ptr<connection_budget> budget = nullptr);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -3,6 +3,7 @@
 #include "header_text.h"
 #include "immediate_write.h"
 #include "message_parser.h"
+#include "request_body.h"
 #include <algorithm>
 #include <base/error.h>
 #include <base/socket_address.h>
@@ -32,8 +33,21 @@
 // which can make the caller lose the response.
 constexpr duration lingerTimeout = std::chrono::seconds(1);
 
+// How long no connection is accepted after the system had no descriptor for one. The listening socket stays readable,
+// so that the loop would spin otherwise.
+constexpr duration acceptPause = std::chrono::milliseconds(100);
+
+// Time after which a request that was refused at a limit over all connections may be sent again.
+constexpr const char* retryAfterLimit = "1";
+
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
+constexpr int statusUnavailable = 503;
+
+// Sent to a connection that is refused before its request is read.
+constexpr std::string_view connectionRefusal
+    = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: 1\r\nContent-Length: 54\r\n"
+      "Connection: close\r\n\r\n{\"error\":{\"run\":\"not_run\",\"type\":\"too_many_callers\"}}\n";
 
 struct refusal {
     int status;
@@ -86,17 +100,31 @@
 
 } // namespace
 
+namespace {
+
+// For a server that has no limits over its connections.
+constexpr connection_limits unlimitedConnections { SIZE_MAX, SIZE_MAX, SIZE_MAX };
+
+} // namespace
+
 struct http_server::details {
-    details(event_loop& eventLoop, const http_server_limits& serverLimits, http_server::handler requestHandler)
+    details(event_loop& eventLoop, const http_server_limits& serverLimits, http_server::handler requestHandler,
+        std::shared_ptr<connection_budget> sharedBudget)
         : loop(eventLoop)
         , limits(serverLimits)
         , handler(std::move(requestHandler))
+        , budget(
+              sharedBudget ? std::move(sharedBudget) : std::make_shared<connection_budget>(unlimitedConnections, time))
+        , acceptTimer(loop, [this] { evconnlistener_enable(listener); })
     {
     }
 
     event_loop& loop;
+    os_clock time;
     http_server_limits limits;
     http_server::handler handler;
+    std::shared_ptr<connection_budget> budget;
+    timer acceptTimer;
     evconnlistener* listener = nullptr;
     endpoint address;
     bool closing = false;
@@ -160,10 +188,14 @@
     std::function<void()> m_onSent;
 };
 
-class http_server::connection final : public std::enable_shared_from_this<connection>, private message_listener {
+class http_server::connection final : public std::enable_shared_from_this<connection>,
+                                      private message_listener,
+                                      private limited_connection {
 public:
     connection(const std::shared_ptr<details>& server, evutil_socket_t socket, std::string callerAddress)
         : m_server(server)
+        , m_budget(server->budget)
+        , m_account(std::in_place, *m_budget, static_cast<limited_connection&>(*this))
         , m_loop(server->loop)
         , m_callerAddress(std::move(callerAddress))
         , m_bufferEvent(bufferevent_socket_new(m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE))
@@ -181,9 +213,11 @@
                 static_cast<connection*>(self)->onCallerDisconnected();
         };
         bufferevent_setcb(m_bufferEvent, onRead, onWritten, onEvent, this);
-        const auto onOutput = [](evbuffer*, const evbuffer_cb_info* info, void* self) {
+        const auto onOutput = [](evbuffer* output, const evbuffer_cb_info* info, void* argument) {
+            auto* self = static_cast<connection*>(argument);
+            self->holdResponse(evbuffer_get_length(output), info->n_deleted > 0);
             if (info->n_deleted > 0)
-                static_cast<connection*>(self)->onSendProgress();
+                self->onSendProgress();
         };
         evbuffer_add_cb(bufferevent_get_output(m_bufferEvent), onOutput, this);
         bufferevent_enable(m_bufferEvent, EV_READ | EV_WRITE);
@@ -269,6 +303,7 @@
         bufferevent_disable(m_bufferEvent, EV_READ | EV_WRITE);
         event_del(m_disconnectEvent);
         detachRequest();
+        m_account.reset();
         const auto self = shared_from_this();
         if (const auto server = m_server.lock())
             server->connections.erase(self);
@@ -284,20 +319,25 @@
         if (m_closed)
             return;
         evbuffer* input = bufferevent_get_input(m_bufferEvent);
+        // The next request waits until the caller has read the last response, which bounds the responses to pipelined
+        // requests.
         if (m_finishing)
             evbuffer_drain(input, evbuffer_get_length(input));
-        else if (!m_busy && evbuffer_get_length(input) > 0)
+        else if (!m_busy && (m_parser || unsentBytes() == 0) && evbuffer_get_length(input) > 0)
             readRequest(input);
         limitReadAhead();
     }
 
-    // Stops reading while too much is buffered behind the current request. A caller that disconnects meanwhile shows
-    // only on the socket itself.
+    // Stops reading while too much is buffered behind the current request, here or over all connections. A caller that
+    // disconnects meanwhile shows only on the socket itself.
     void limitReadAhead()
     {
         if (m_closed)
             return;
-        const bool isFull = m_busy && evbuffer_get_length(bufferevent_get_input(m_bufferEvent)) >= readAheadBytes;
+        const size_t unparsed = evbuffer_get_length(bufferevent_get_input(m_bufferEvent));
+        const bool isWaiting = !m_parser && !m_finishing;
+        const bool withinBudget = !isWaiting || m_account->holdReadAhead(m_runningBytes + unparsed);
+        const bool isFull = isWaiting && unparsed > 0 && (unparsed >= readAheadBytes || !withinBudget);
         if (std::exchange(m_readingStopped, isFull) == isFull)
             return;
         if (isFull) {
@@ -315,7 +355,8 @@
         if (!server)
             return;
         if (!m_parser) {
-            m_body.clear();
+            m_body.restart(server->limits.maximumBodyBytes);
+            m_account->setReceiving();
             m_idleTimeout = server->limits.idleTimeout;
             m_parser.emplace(static_cast<message_listener&>(*this), server->limits.maximumHeaderBytes,
                 server->limits.maximumBodyBytes);
@@ -324,6 +365,13 @@
         const bool hadHead = m_parser->headComplete();
         const size_t bodyBytes = m_body.size();
         const parse_state state = m_parser->feed(input);
+        if (m_closed)
+            return;
+        m_account->recordReceived(m_body.size() - bodyBytes);
+        if (m_exceedsBudget || !holdArriving(evbuffer_get_length(input), state)) {
+            refuseAtLimit();
+            return;
+        }
         if (state == parse_state::NeedsMore) {
             // Only the head and bytes of the body count as progress, framing does not.
             if (m_parser->headComplete() && (!hadHead || m_body.size() > bodyBytes))
@@ -337,9 +385,10 @@
         m_timer.stop();
         m_method = m_parser->method();
         m_keepAlive = m_parser->keepAlive();
-        http_request request { m_method, m_parser->target(), std::move(m_parser->headers()), std::move(m_body) };
+        http_request request { m_method, m_parser->target(), std::move(m_parser->headers()), m_body.take() };
         m_parser.reset();
-        m_body.clear();
+        m_body.restart(0);
+        m_account->setRunning();
         ++server->openRequests;
         m_countedAsOpen = true;
         const auto current = std::make_shared<connection_request>(this, std::move(request), m_callerAddress);
@@ -348,23 +397,70 @@
         server->handler(current);
     }
 
+    // Counts the request so far, or with its copies once it is complete; returns false if the limit is reached.
+    bool holdArriving(size_t unparsedBytes, parse_state state)
+    {
+        if (state == parse_state::NeedsMore)
+            return m_account->holdRequest(m_parser->headMemory() + m_body.capacity() + unparsedBytes);
+        if (state != parse_state::Complete)
+            return true;
+        m_runningBytes = (m_parser->headMemory() + m_body.capacity()) * copiesOfRunningRequest;
+        return m_account->holdRequest(m_runningBytes);
+    }
+
     void onMessageHead() override
     {
+        if (const auto length = m_parser->announcedLength())
+            m_body.restart(*length);
         const bool expects
             = strcasecmp(std::string(findHeader(m_parser->headers(), "Expect")).c_str(), "100-continue") == 0;
         if (expects)
             bufferevent_write(m_bufferEvent, "HTTP/1.1 100 Continue\r\n\r\n", 25);
     }
 
-    void onMessageBody(std::string_view bytes) override { m_body += bytes; }
+    void onMessageBody(std::string_view bytes) override
+    {
+        if (!m_account->holdRequest(m_parser->headMemory() + m_body.capacityWith(bytes.size()))) {
+            m_exceedsBudget = true;
+            m_parser->stop();
+            return;
+        }
+        m_body.append(bytes);
+    }
+
+    void refuseUnfinished() override { refuseAtLimit(); }
+    void closeAtLimit() override { onCallerDisconnected(); }
+
+    // Refuses the request that is arriving, because of the limits over all connections.
+    void refuseAtLimit()
+    {
+        evbuffer* input = bufferevent_get_input(m_bufferEvent);
+        evbuffer_drain(input, evbuffer_get_length(input));
+        refuse({ statusUnavailable, "too_many_bytes_held" });
+    }
+
+    void holdResponse(size_t bytes, bool progress)
+    {
+        if (!m_account)
+            return;
+        m_account->holdResponse(bytes, progress);
+        // Closing a caller calls back into the handler, which may be the one that writes now.
+        if (m_budget->responsesExceedLimit())
+            m_loop.post([budget = m_budget] { budget->closeStalledReaders(); });
+    }
 
     void refuse(const refusal& reason)
     {
         const std::string body = std::string("{\"error\":{\"run\":\"not_run\",\"type\":\"") + reason.type + "\"}}\n";
         m_keepAlive = false;
         m_method = "GET";
-        writeHead(reason.status, { { "Content-Type", "application/json" } },
-            "Content-Length: " + std::to_string(body.size()));
+        // The caller may stay connected for a while, so that what is held for the request is freed now.
+        m_parser.reset();
+        m_body.restart(0);
+        http_headers headers { { "Content-Type", "application/json" } };
+        if (reason.status == statusUnavailable)
+            headers.emplace_back("Retry-After", retryAfterLimit);
+        writeHead(reason.status, headers, "Content-Length: " + std::to_string(body.size()));
         bufferevent_write(m_bufferEvent, body.data(), body.size());
         writeImmediately(m_bufferEvent);
         completeResponse();
@@ -411,6 +507,9 @@
                 --server->openRequests;
         }
         m_busy = false;
+        m_runningBytes = 0;
+        m_account->holdRequest(0);
+        m_account->setIdle();
         if (const auto current = m_current.lock())
             current->detach(m_loop);
         m_current.reset();
@@ -435,6 +534,9 @@
                 current->notifySent();
             return;
         }
+        // A pipelined request may have waited for this.
+        if (!m_finishing && !m_parser && evbuffer_get_length(bufferevent_get_input(m_bufferEvent)) > 0)
+            m_loop.post([self] { self->process(); });
         if (!m_finishing || m_lingering)
             return;
         m_lingering = true;
@@ -470,6 +572,9 @@
     }
 
     std::weak_ptr<details> m_server;
+    std::shared_ptr<connection_budget> m_budget;
+    // Empty once the connection is closed.
+    std::optional<connection_budget::account> m_account;
     event_loop& m_loop;
     std::string m_callerAddress;
     bufferevent* m_bufferEvent;
@@ -478,7 +583,11 @@
     bool m_readingStopped = false;
     timer m_timer;
     std::optional<request_parser> m_parser;
-    std::string m_body;
+    request_body m_body;
+    // Memory of the request that runs, with its copies.
+    size_t m_runningBytes = 0;
+    // The limit over all connections was reached while the body was parsed.
+    bool m_exceedsBudget = false;
     std::string m_method;
     duration m_idleTimeout { 0 };
     bool m_keepAlive = true;
@@ -533,12 +642,18 @@
 
 size_t http_server::connection_request::unsentBytes() const { return m_connection ? m_connection->unsentBytes() : 0; }
 
-http_server::http_server(
-    event_loop& loop, const endpoint& listenAddress, const http_server_limits& limits, handler handler)
-    : m_details(std::make_shared<details>(loop, limits, std::move(handler)))
+http_server::http_server(event_loop& loop, const endpoint& listenAddress, const http_server_limits& limits,
+    handler handler, std::shared_ptr<connection_budget> budget)
+    : m_details(std::make_shared<details>(loop, limits, std::move(handler), std::move(budget)))
 {
     const auto onAccept = [](evconnlistener*, evutil_socket_t socket, sockaddr* from, int length, void* self) {
         auto* server = static_cast<http_server*>(self);
+        if (!server->m_details->budget->admit()) {
+            // A failed write means that the caller has gone.
+            static_cast<void>(::send(socket, connectionRefusal.data(), connectionRefusal.size(), MSG_NOSIGNAL));
+            evutil_closesocket(socket);
+            return;
+        }
         socket_address caller;
         caller.length = static_cast<socklen_t>(length);
         std::copy_n(reinterpret_cast<const char*>(from), length, reinterpret_cast<char*>(&caller.storage));
@@ -551,6 +666,13 @@
         loop.base(), onAccept, this, flags, listenBacklog, address.get(), static_cast<int>(address.length));
     if (!m_details->listener)
         throw system_error("cannot listen on " + listenAddress.text(), errno);
+    const auto onAcceptError = [](evconnlistener* listener, void* self) {
+        auto& server = *static_cast<http_server*>(self)->m_details;
+        server.budget->onAcceptFailed();
+        evconnlistener_disable(listener);
+        server.acceptTimer.startOnce(acceptPause);
+    };
+    evconnlistener_set_error_cb(m_details->listener, onAcceptError);
     socket_address bound;
     getsockname(evconnlistener_get_fd(m_details->listener), bound.get(), &bound.length);
     m_details->address = toEndpoint(bound);
@@ -570,6 +692,7 @@
 
 void http_server::stopAccepting()
 {
+    m_details->acceptTimer.stop();
     if (m_details->listener)
         evconnlistener_free(std::exchange(m_details->listener, nullptr));
 }
--- a/libs/http/src/message_parser.cpp
+++ b/libs/http/src/message_parser.cpp
@@ -86,6 +86,7 @@
     problem = {};
     m_method.assign(method.data(), method.size());
     m_target.assign(target.data(), target.size());
+    m_headBytes += target.size();
 }
 
 template <bool IsRequest>
@@ -111,6 +112,7 @@
         problem = http::error::bad_transfer_encoding;
         return;
     }
+    m_headBytes += name.size() + value.size();
     m_headers.emplace_back(std::string(name.data(), name.size()), std::string(value.data(), value.size()));
 }
 
--- a/libs/http/src/message_parser.h
+++ b/libs/http/src/message_parser.h
@@ -3,6 +3,7 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <http/http_message.h>
 #include <memory>
+#include <optional>
 
 struct evbuffer;
 
@@ -50,6 +51,12 @@
 
     bool started() const { return this->got_some(); }
     bool headComplete() const { return this->is_header_done(); }
+    // Announced length of the body, or none. Known once the head is complete.
+    std::optional<uint64_t> announcedLength() const
+    {
+        const auto length = this->content_length();
+        return length ? std::optional<uint64_t>(*length) : std::nullopt;
+    }
     bool keepAlive() const { return this->keep_alive(); }
     // The message has neither a length nor chunks and ends with its connection. Known once the head is complete.
     bool endsWithConnection() const { return this->need_eof(); }
@@ -57,6 +64,8 @@
     const std::string& method() const { return m_method; }
     const std::string& target() const { return m_target; }
     http_headers& headers() { return m_headers; }
+    // Bytes that the head takes so far. Fields are kept as they arrive, and short ones take many times their length.
+    size_t headMemory() const { return m_headers.capacity() * sizeof(http_headers::value_type) + m_headBytes; }
 
 private:
     using base = boost::beast::http::basic_parser<IsRequest>;
@@ -84,6 +93,7 @@
     std::string m_method;
     std::string m_target;
     http_headers m_headers;
+    size_t m_headBytes = 0;
     bool m_headComplete = false;
     size_t m_trailerBytes = 0;
     bool m_stopped = false;
