Derive the limits over all connections from the settings of a daemon

Both ways of running share one budget among their HTTP listeners: memory-mb and max-fds on the platform, limits.memory and limits.descriptors with the own interface.

--- a/apps/pollenrouted/daemon.cpp
+++ b/apps/pollenrouted/daemon.cpp
@@ -2,11 +2,14 @@
 
 #include <backend/http_model_engine.h>
 #include <backend/http_routed_service.h>
+#include <base/error.h>
+#include <cerrno>
 #include <control/configuration_manager.h>
 #include <control/instance_sync_system.h>
 #include <control/load_poll_system.h>
 #include <csignal>
 #include <gateway/operator_gateway.h>
+#include <http/connection_report.h>
 #include <optional>
 #include <peer/tcp_state_exchange.h>
 #include <peer/udp_peer_transport.h>
@@ -15,6 +18,7 @@
 #include <platform/http_record_log.h>
 #include <platform/memory_record_log.h>
 #include <policy/cheapest_sufficient_policy.h>
+#include <sys/resource.h>
 
 namespace pollen {
 
@@ -78,6 +82,15 @@
     return { limits.maximumHeaderBytes, limits.maximumBodyBytes, limits.requestTimeout };
 }
 
+// Soft limit of the process.
+size_t systemDescriptors()
+{
+    rlimit limit {};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        throw system_error("getrlimit", errno);
+    return limit.rlim_cur;
+}
+
 } // namespace
 
 struct daemon::parts {
@@ -86,6 +99,11 @@
         , log(logger)
         , time(clock)
         , random(std::random_device()())
+        , connections(std::make_shared<connection_budget>(
+              deriveConnectionLimits(settings.limits.memoryBytes,
+                  settings.limits.descriptors.value_or(systemDescriptors()), settings.limits.maximumBodyBytes),
+              time))
+        , connectionReport(*connections, log)
         , client(loop)
         , platformLog(makeLog(settings, loop, client, time))
         , transport(makeTransport(settings, loop))
@@ -111,6 +129,8 @@
     const clock& time;
     random_source random;
     event_loop loop;
+    std::shared_ptr<connection_budget> connections;
+    connection_report connectionReport;
     http_client client;
     std::unique_ptr<record_log> platformLog;
     std::unique_ptr<peer_transport> transport;
@@ -174,12 +194,14 @@
     }
     p.claims.start();
     p.operators = std::make_unique<operator_gateway>(
-        operator_dependencies { p.callers, p.shared, p.node, p.peers, p.configuration.get() });
+        operator_dependencies { p.callers, p.shared, p.node, p.peers, p.configuration.get(), &p.connectionReport });
     const http_server_limits limits = toServerLimits(settings.limits);
-    p.callerServer = std::make_unique<http_server>(p.loop, settings.callers, limits,
-        [&p](const std::shared_ptr<server_request>& request) { p.callers.handle(request); });
-    p.operatorServer = std::make_unique<http_server>(p.loop, settings.operators, limits,
-        [&p](const std::shared_ptr<server_request>& request) { p.operators->handle(*request); });
+    p.callerServer = std::make_unique<http_server>(
+        p.loop, settings.callers, limits,
+        [&p](const std::shared_ptr<server_request>& request) { p.callers.handle(request); }, p.connections);
+    p.operatorServer = std::make_unique<http_server>(
+        p.loop, settings.operators, limits,
+        [&p](const std::shared_ptr<server_request>& request) { p.operators->handle(*request); }, p.connections);
     for (const int number : { SIGTERM, SIGINT })
         p.signals.push_back(std::make_unique<signal_handler>(p.loop, number, [this] { beginShutdown(); }));
 }
@@ -207,6 +229,7 @@
         static_cast<uint32_t>(p.callers.openRequests()) });
     for (fleet_system* system : p.systems)
         system->tick(now);
+    p.connectionReport.tick(now);
     p.tables.servers().sweep();
     if (p.shutdownStart)
         continueShutdown();
--- a/apps/pollenrouted/platform_daemon.cpp
+++ b/apps/pollenrouted/platform_daemon.cpp
@@ -4,6 +4,7 @@
 
 #include <config/daemon_settings.h>
 #include <csignal>
+#include <http/connection_report.h>
 
 namespace pollen {
 
@@ -31,6 +32,10 @@
         : settings(nodeSettings)
         , log(logger)
         , time(clock)
+        , connections(std::make_shared<connection_budget>(
+              deriveConnectionLimits(settings.memoryBytes, settings.descriptors, toServerLimits({}).maximumBodyBytes),
+              time))
+        , connectionReport(*connections, log)
         , relay(loop, settings, log, time)
     {
     }
@@ -39,6 +44,8 @@
     logger& log;
     const clock& time;
     event_loop loop;
+    std::shared_ptr<connection_budget> connections;
+    connection_report connectionReport;
     platform_relay relay;
     std::unique_ptr<http_server> callerServer;
     std::unique_ptr<http_server> readinessServer;
@@ -59,18 +66,22 @@
 {
     parts& p = *m_parts;
     p.settingsFile = settingsFile;
-    p.callerServer = std::make_unique<http_server>(p.loop, settings.callers, toServerLimits({}),
-        [&p](const std::shared_ptr<server_request>& request) { p.relay.gateway().handle(request); });
+    p.callerServer = std::make_unique<http_server>(
+        p.loop, settings.callers, toServerLimits({}),
+        [&p](const std::shared_ptr<server_request>& request) { p.relay.gateway().handle(request); }, p.connections);
     p.readinessServer = std::make_unique<http_server>(
-        p.loop, settings.readiness, http_server_limits {}, [&p](const std::shared_ptr<server_request>& request) {
+        p.loop, settings.readiness, http_server_limits {},
+        [&p](const std::shared_ptr<server_request>& request) {
             const std::string_view path = targetPath(request->request().target);
             if (path == "/metrics")
-                request->reply(200, { { "Content-Type", "text/plain; version=0.0.4" } }, p.relay.renderMetrics());
+                request->reply(200, { { "Content-Type", "text/plain; version=0.0.4" } },
+                    p.relay.renderMetrics() + p.connectionReport.renderMetrics());
             else if (path == readinessPath)
                 request->reply(p.relay.gateway().ready() ? 200 : 503, {}, "");
             else
                 request->reply(404, {}, "");
-        });
+        },
+        p.connections);
     for (const int number : { SIGTERM, SIGINT })
         p.signals.push_back(std::make_unique<signal_handler>(p.loop, number, [this] { beginShutdown(); }));
     p.signals.push_back(std::make_unique<signal_handler>(p.loop, SIGHUP, [this] { reload(); }));
@@ -100,6 +111,7 @@
     if (late > maximumTickDelay && p.delayLogBudget.take(now))
         p.log.write(log_level::Warning, "loop_late", { { "late_ms", toMilliseconds(late) } });
     p.relay.tick(now);
+    p.connectionReport.tick(now);
     if (const auto& configuration = p.relay.state().configuration())
         p.callerServer->setLimits(toServerLimits(configuration->configuration().limits));
     const bool ready = p.relay.gateway().ready();
--- a/libs/config/include/config/daemon_settings.h
+++ b/libs/config/include/config/daemon_settings.h
@@ -33,6 +33,10 @@
     duration drainGrace = std::chrono::seconds(1);
     // Longest time a stopping instance waits for requests in flight.
     duration drainTimeout = std::chrono::seconds(120);
+    // Memory that the process may use; the limits over all connections derive from it.
+    size_t memoryBytes = 256U << 20;
+    // File descriptors that the process may use; empty for the system's limit.
+    std::optional<size_t> descriptors {};
 
     friend bool operator==(const limit_settings&, const limit_settings&) = default;
 };
--- a/libs/config/src/daemon_settings.cpp
+++ b/libs/config/src/daemon_settings.cpp
@@ -62,12 +62,16 @@
 {
     constexpr int64_t mostRequests = 1000000;
     constexpr int64_t mostAttempts = 10;
+    constexpr int64_t mostDescriptors = 1000000;
     limit_settings limits;
     limits.maximumHeaderBytes = section.bytes("maximum_header", limits.maximumHeaderBytes);
     limits.maximumBodyBytes = section.bytes("maximum_body", limits.maximumBodyBytes);
     limits.streamBufferBytes = section.bytes("stream_buffer", limits.streamBufferBytes);
     limits.maximumRequests = section.integer("maximum_requests", limits.maximumRequests, 1, mostRequests);
     limits.maximumAttempts = section.integer("maximum_attempts", limits.maximumAttempts, 1, mostAttempts);
+    limits.memoryBytes = section.bytes("memory", limits.memoryBytes);
+    if (section.has("descriptors"))
+        limits.descriptors = section.integer("descriptors", 0, 1, mostDescriptors);
     limits.requestTimeout = section.span("request_timeout", limits.requestTimeout);
     limits.connectTimeout = section.span("connect_timeout", limits.connectTimeout);
     limits.drainGrace = section.span("drain_grace", limits.drainGrace);
--- a/libs/config/tests/daemon_settings_test.cpp
+++ b/libs/config/tests/daemon_settings_test.cpp
@@ -22,6 +22,8 @@
 [limits]
 maximum_body = "64KiB"
 request_timeout = "2min"
+memory = "88MiB"
+descriptors = 600
 )";
 
 struct bad_settings {
@@ -45,6 +47,8 @@
     EXPECT_EQ(settings.platform->log, (endpoint { "127.0.0.1", 83 }));
     EXPECT_EQ(settings.limits.maximumBodyBytes, 65536U);
     EXPECT_EQ(settings.limits.requestTimeout, std::chrono::minutes(2));
+    EXPECT_EQ(settings.limits.memoryBytes, size_t { 88 } << 20);
+    EXPECT_EQ(settings.limits.descriptors, 600U);
 }
 
 TEST_P(BadSettingsTest, NamesFileLineAndKey)
@@ -75,6 +79,8 @@
         bad_settings { "127.0.0.1:82", "localhost:82", settings_problem::BadValue, "listen.peers", 9 },
         bad_settings { "64KiB", "64kb", settings_problem::BadUnit, "limits.maximum_body", 16 },
         bad_settings { "64KiB", "-1KiB", settings_problem::BadUnit, "limits.maximum_body", 16 },
+        bad_settings { "88MiB", "88", settings_problem::BadUnit, "limits.memory", 18 },
+        bad_settings { "descriptors = 600", "descriptors = 0", settings_problem::OutOfRange, "limits.descriptors", 19 },
         bad_settings { "2min", "2", settings_problem::BadUnit, "limits.request_timeout", 17 },
         bad_settings { "2min", "0s", settings_problem::BadUnit, "limits.request_timeout", 17 },
         bad_settings { "2min", "99999999999999999min", settings_problem::BadUnit, "limits.request_timeout", 17 },
--- a/libs/gateway/include/gateway/operator_gateway.h
+++ b/libs/gateway/include/gateway/operator_gateway.h
@@ -2,6 +2,7 @@
 
 #include <control/configuration_manager.h>
 #include <gateway/caller_gateway.h>
+#include <http/connection_report.h>
 #include <peer/peer_node.h>
 
 namespace pollen {
@@ -14,6 +15,8 @@
     peer_table& peers;
     // Null if the fleet is read from a file.
     const configuration_manager* configuration;
+    // Null if the process has no limits over its connections.
+    const connection_report* connections = nullptr;
 };
 
 // Serves the operator endpoints: health, readiness, metrics, status and explanations of routing decisions.
--- a/libs/gateway/src/operator_gateway.cpp
+++ b/libs/gateway/src/operator_gateway.cpp
@@ -45,7 +45,9 @@
         request.reply(ready ? 200 : 503, textHeaders, ready ? "ready\n" : "not ready\n");
     } else if (path == "/metrics") {
         updateGauges();
-        request.reply(200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_dependencies.shared.metrics.render());
+        request.reply(200, { { "Content-Type", "text/plain; version=0.0.4" } },
+            m_dependencies.shared.metrics.render()
+                + (m_dependencies.connections ? m_dependencies.connections->renderMetrics() : ""));
     } else if (path == "/admin/status") {
         request.reply(200, jsonHeaders, statusJson());
     } else if (path.starts_with(explainPrefix)) {
