Keep connections whose responses are being read

Cause: a connection counted as idle once its response was complete, even while the caller still read it, so that a new connection could cut the response. At the limit of request bytes, callers whose stalled requests held no bytes were refused first, although that frees no memory. Change: a connection with an unread response is closed for a new one only after a second without reading. Only stalled requests that hold bytes are refused for their bytes.

--- a/libs/http/include/http/connection_budget.h
+++ b/libs/http/include/http/connection_budget.h
@@ -78,6 +78,9 @@
     void record(limit_action action) { ++m_counts[static_cast<size_t>(action)]; }
     bool fits(size_t additional, size_t total) const;
     bool hasStalled(const account& account) const;
+    // Of the requests that arrive and hold bytes, the one that has gone longest without progress; null if none has
+    // stalled. Refusing one that holds nothing would free no memory.
+    account* longestStalledHolder() const;
     bool closeLongestIdle();
 
     connection_limits m_limits;
@@ -86,6 +89,8 @@
     size_t m_requestBytes = 0;
     size_t m_responseBytes = 0;
     account_list m_idle;
+    // Their responses are complete and have not been read. Closing them would cut the responses.
+    account_list m_answered;
     account_list m_receiving;
     account_list m_running;
     account_list m_unread;
@@ -101,7 +106,7 @@
     account& operator=(const account&) = delete;
 
     // Between two requests, or behind the last response.
-    void setIdle() { moveTo(m_budget.m_idle); }
+    void setIdle();
     void setReceiving();
     // The request has arrived; it is not refused any more.
     void setRunning() { moveTo(m_budget.m_running); }
--- a/libs/http/src/connection_budget.cpp
+++ b/libs/http/src/connection_budget.cpp
@@ -45,6 +45,11 @@
         m_receiving.front()->m_owner.closeAtLimit();
         return true;
     }
+    if (!m_answered.empty() && hasStalled(*m_answered.front())) {
+        record(limit_action::ReaderClosed);
+        m_answered.front()->m_owner.closeAtLimit();
+        return true;
+    }
     record(limit_action::ConnectionRefused);
     return false;
 }
@@ -78,6 +83,17 @@
     return m_requestBytes + additional <= m_limits.requestBytes - reserved;
 }
 
+connection_budget::account* connection_budget::longestStalledHolder() const
+{
+    for (account* receiving : m_receiving) {
+        if (!hasStalled(*receiving))
+            return nullptr;
+        if (receiving->m_requestBytes > 0)
+            return receiving;
+    }
+    return nullptr;
+}
+
 bool connection_budget::hasStalled(const account& account) const
 {
     return m_time.now() - account.m_lastProgress >= stallTime;
@@ -101,6 +117,16 @@
     --m_budget.m_connections;
 }
 
+void connection_budget::account::setIdle()
+{
+    if (m_responseBytes == 0) {
+        moveTo(m_budget.m_idle);
+        return;
+    }
+    m_lastProgress = m_budget.m_time.now();
+    moveTo(m_budget.m_answered);
+}
+
 void connection_budget::account::setReceiving()
 {
     m_lastProgress = m_budget.m_time.now();
@@ -119,8 +145,8 @@
 {
     const size_t wanted = charged(bytes);
     while (wanted > m_requestBytes && !m_budget.fits(wanted - m_requestBytes, wanted)) {
-        account* longest = m_budget.m_receiving.empty() ? nullptr : m_budget.m_receiving.front();
-        if (!longest || longest == this || !m_budget.hasStalled(*longest)) {
+        account* longest = m_budget.longestStalledHolder();
+        if (!longest || longest == this) {
             m_budget.record(limit_action::RequestRefused);
             return false;
         }
@@ -149,6 +175,8 @@
         m_unreadPosition = unread.insert(unread.end(), this);
     else if (hadUnread && progress)
         unread.splice(unread.end(), unread, m_unreadPosition);
+    if (m_list == &m_budget.m_answered && (progress || bytes == 0))
+        setIdle();
 }
 
 void connection_budget::account::moveTo(account_list& list)
--- a/libs/http/tests/connection_budget_test.cpp
+++ b/libs/http/tests/connection_budget_test.cpp
@@ -137,4 +137,41 @@
     EXPECT_EQ(m_budget.responseBytes(), 550 * kilobyte);
 }
 
+// Guards against callers that are refused because they sent the first bytes of a head a second ago, although this frees
+// no memory.
+TEST_F(ConnectionBudgetTest, ARequestThatHoldsNothingIsNotRefusedForItsBytes)
+{
+    fake_connection& small = receive(100);
+    fake_connection& stalled = receive(3 * megabyte);
+    m_time.advance(connection_budget::stallTime);
+    EXPECT_TRUE(receive(0).account->holdRequest(megabyte));
+    EXPECT_TRUE(stalled.refused);
+    EXPECT_FALSE(small.refused);
+}
+
+// Guards against a response that is cut because it waits in the output while its caller reads it.
+TEST_F(ConnectionBudgetTest, AConnectionIsIdleOnceItsResponseHasBeenRead)
+{
+    fake_connection& reader = connect();
+    fake_connection& second = connect();
+    fake_connection& third = connect();
+    reader.account->holdResponse(2 * kilobyte, false);
+    reader.account->setIdle();
+    second.account->setRunning();
+    third.account->setRunning();
+    ASSERT_FALSE(m_budget.admit());
+    m_time.advance(connection_budget::stallTime);
+    reader.account->holdResponse(kilobyte, true);
+    ASSERT_FALSE(m_budget.admit()) << "the caller has just read";
+    m_time.advance(connection_budget::stallTime);
+    ASSERT_TRUE(m_budget.admit()) << "the caller has stopped reading";
+    EXPECT_FALSE(reader.account);
+    fake_connection& fourth = connect();
+    fourth.account->holdResponse(kilobyte, false);
+    fourth.account->setIdle();
+    fourth.account->holdResponse(0, true);
+    ASSERT_TRUE(m_budget.admit()) << "the response has been read";
+    EXPECT_FALSE(fourth.account);
+}
+
 } // namespace pollen
