Accept at most 64 connections in a turn of the event loop

Cause: a connection that is closed for a new one frees its descriptor in a later turn of the loop, while the listener accepts all that wait in one turn. A burst used up the descriptors in spite of the limit. Change: after 64 connections accepting stops until the displaced ones are freed. Evidence: ConnectionLimitTest.ABurstOfConnectionsKeepsToTheDescriptors fails before (accept_failed 1); http_tests 71 of 71.

--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -100,6 +100,10 @@
     class connection;
     class connection_request;
     struct details;
+
+    // Stops accepting until the next turn of the event loop once enough connections have been accepted in this one.
+    static void limitAcceptsInTurn(const std::shared_ptr<details>& server);
+
     std::shared_ptr<details> m_details;
 };
 
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -40,6 +40,10 @@
 // so that the loop would spin otherwise.
 constexpr duration acceptPause = std::chrono::milliseconds(100);
 
+// Connections accepted in a row before the event loop runs its other tasks. The descriptors of connections that are
+// closed for new ones are freed only there, so that a burst would use up all descriptors.
+constexpr size_t acceptsPerTurn = 64;
+
 // Time after which a request that was refused at a limit over all connections may be sent again.
 constexpr const char* retryAfterLimit = "1";
 
@@ -134,6 +138,7 @@
     std::shared_ptr<connection_budget> budget;
     timer acceptTimer;
     evconnlistener* listener = nullptr;
+    size_t acceptsInTurn = 0;
     endpoint address;
     bool closing = false;
     size_t openRequests = 0;
@@ -655,12 +660,27 @@
 
 size_t http_server::connection_request::unsentBytes() const { return m_connection ? m_connection->unsentBytes() : 0; }
 
+void http_server::limitAcceptsInTurn(const std::shared_ptr<details>& server)
+{
+    if (++server->acceptsInTurn < acceptsPerTurn)
+        return;
+    server->acceptsInTurn = 0;
+    evconnlistener_disable(server->listener);
+    // Runs after the tasks that free the displaced connections.
+    server->loop.post([weak = std::weak_ptr<details>(server)] {
+        const auto paused = weak.lock();
+        if (paused && paused->listener)
+            evconnlistener_enable(paused->listener);
+    });
+}
+
 http_server::http_server(event_loop& loop, const endpoint& listenAddress, const http_server_limits& limits,
     handler handler, std::shared_ptr<connection_budget> budget)
     : m_details(std::make_shared<details>(loop, limits, std::move(handler), std::move(budget)))
 {
     const auto onAccept = [](evconnlistener*, evutil_socket_t socket, sockaddr* from, int length, void* self) {
         auto* server = static_cast<http_server*>(self);
+        limitAcceptsInTurn(server->m_details);
         if (!server->m_details->budget->admit()) {
             // A failed write means that the caller has gone.
             static_cast<void>(::send(socket, connectionRefusal.data(), connectionRefusal.size(), MSG_NOSIGNAL));
--- a/libs/http/tests/connection_limit_test.cpp
+++ b/libs/http/tests/connection_limit_test.cpp
@@ -1,7 +1,11 @@
 #include <gtest/gtest.h>
 #include <http/http_client.h>
 #include <http/http_server.h>
+#include <netinet/in.h>
 #include <optional>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace pollen {
 
@@ -67,4 +71,33 @@
     EXPECT_EQ(m_budget->requestBytes(), 0U);
 }
 
+// Guards against a burst of connections that are all accepted in one turn of the event loop, while the descriptors of
+// those they displace are freed only in the next one.
+TEST_F(ConnectionLimitTest, ABurstOfConnectionsKeepsToTheDescriptors)
+{
+    constexpr int callers = 400;
+    constexpr rlim_t spareDescriptors = 150;
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(m_server.address().port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    std::vector<int> sockets;
+    for (int i = 0; i < callers; ++i) {
+        sockets.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        ASSERT_EQ(::connect(sockets.back(), reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
+    }
+    rlimit former {};
+    ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &former), 0);
+    const rlimit lowered { static_cast<rlim_t>(sockets.back()) + spareDescriptors, former.rlim_max };
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &lowered), 0);
+    const auto closed = [&] { return m_budget->count(limit_action::IdleClosed); };
+    const bool accepted
+        = runUntil([&] { return closed() >= callers - 2 || m_budget->count(limit_action::AcceptFailed) > 0; });
+    setrlimit(RLIMIT_NOFILE, &former);
+    for (const int socket : sockets)
+        ::close(socket);
+    EXPECT_TRUE(accepted);
+    EXPECT_EQ(m_budget->count(limit_action::AcceptFailed), 0U);
+}
+
 } // namespace pollen
