Give readiness and metrics connections of their own

Cause: while requests of callers ran on every connection, a readiness check got 503, and the balancer would take the daemon out. Change: the readiness listener has a budget of its own (16 connections, 256 KiB for requests, memory / 24 for responses). The line connection_limit_reached names the listeners. Evidence: ReadinessUnderLoadTest fails before (503, too_many_callers) and passes now.

--- a/apps/pollenrouted/daemon.cpp
+++ b/apps/pollenrouted/daemon.cpp
@@ -103,7 +103,7 @@
               deriveConnectionLimits(settings.limits.memoryBytes,
                   settings.limits.descriptors.value_or(systemDescriptors()), settings.limits.maximumBodyBytes),
               time))
-        , connectionReport(*connections, log)
+        , connectionReport(*connections, log, "callers, operators")
         , client(loop)
         , platformLog(makeLog(settings, loop, client, time))
         , transport(makeTransport(settings, loop))
--- a/apps/pollenrouted/platform_daemon.cpp
+++ b/apps/pollenrouted/platform_daemon.cpp
@@ -37,6 +37,9 @@
               deriveConnectionLimits(settings.memoryBytes, settings.descriptors, caller_limits {}.maximumBodyBytes),
               time))
         , connectionReport(*connections, log)
+        , monitoringConnections(
+              std::make_shared<connection_budget>(deriveMonitoringLimits(settings.memoryBytes), time))
+        , monitoringReport(*monitoringConnections, log, "readiness")
         , relay(loop, settings, log, time)
     {
     }
@@ -47,6 +50,9 @@
     event_loop loop;
     std::shared_ptr<connection_budget> connections;
     connection_report connectionReport;
+    // Callers must not keep checks of the balancer out, which would take the process out of service.
+    std::shared_ptr<connection_budget> monitoringConnections;
+    connection_report monitoringReport;
     platform_relay relay;
     std::unique_ptr<http_server> callerServer;
     std::unique_ptr<http_server> readinessServer;
@@ -82,7 +88,7 @@
             else
                 request->reply(404, {}, "");
         },
-        p.connections);
+        p.monitoringConnections);
     for (const int number : { SIGTERM, SIGINT })
         p.signals.push_back(std::make_unique<signal_handler>(p.loop, number, [this] { beginShutdown(); }));
     p.signals.push_back(std::make_unique<signal_handler>(p.loop, SIGHUP, [this] { reload(); }));
@@ -113,6 +119,7 @@
         p.log.write(log_level::Warning, "loop_late", { { "late_ms", toMilliseconds(late) } });
     p.relay.tick(now);
     p.connectionReport.tick(now);
+    p.monitoringReport.tick(now);
     if (const auto& configuration = p.relay.state().configuration())
         p.callerServer->setLimits(
             toServerLimits(configuration->configuration().limits, p.relay.state().denialsUntil()));
--- a/libs/http/include/http/connection_limits.h
+++ b/libs/http/include/http/connection_limits.h
@@ -23,4 +23,8 @@
 // of maximumBodyBytes fits.
 connection_limits deriveConnectionLimits(size_t memoryBytes, size_t descriptors, size_t maximumBodyBytes);
 
+// Limits of the listener for readiness and metrics, which are apart so that callers cannot keep checks of the balancer
+// out. memoryBytes: memory of the process.
+connection_limits deriveMonitoringLimits(size_t memoryBytes);
+
 } // namespace pollen
--- a/libs/http/include/http/connection_report.h
+++ b/libs/http/include/http/connection_report.h
@@ -12,9 +12,11 @@
 public:
     static constexpr duration reportInterval = std::chrono::seconds(1);
 
-    connection_report(const connection_budget& budget, logger& log)
+    // listeners: the listeners that share the budget, as written to the log.
+    connection_report(const connection_budget& budget, logger& log, std::string listeners = "callers")
         : m_budget(budget)
         , m_log(log)
+        , m_listeners(std::move(listeners))
     {
     }
 
@@ -27,6 +29,7 @@
 private:
     const connection_budget& m_budget;
     logger& m_log;
+    std::string m_listeners;
     std::array<uint64_t, limitActionCount> m_reported {};
     time_point m_next {};
 };
--- a/libs/http/src/connection_limits.cpp
+++ b/libs/http/src/connection_limits.cpp
@@ -24,6 +24,13 @@
 // Largest head of a request together with its container.
 constexpr size_t largestHeadBytes = 64U << 10;
 
+// Readiness and metrics: checks of a balancer and a few scrapers. Their descriptors are among descriptorsForFleet.
+constexpr size_t monitoringConnections = 16;
+// Requests have no body, and the first bytes of each are part of its connection.
+constexpr size_t monitoringRequestBytes = 256U << 10;
+// 3.7 MB on the smallest machine, which holds several texts of metrics.
+constexpr size_t monitoringResponseShare = 24;
+
 } // namespace
 
 connection_limits deriveConnectionLimits(size_t memoryBytes, size_t descriptors, size_t maximumBodyBytes)
@@ -38,4 +45,9 @@
         memoryBytes / responseShare };
 }
 
+connection_limits deriveMonitoringLimits(size_t memoryBytes)
+{
+    return { monitoringConnections, monitoringRequestBytes, memoryBytes / monitoringResponseShare };
+}
+
 } // namespace pollen
--- a/standins/tests/hostile_callers_test.cpp
+++ b/standins/tests/hostile_callers_test.cpp
@@ -275,7 +275,12 @@
     event_loop m_loop;
     os_clock m_time;
     store_standin m_store { m_loop, { "127.0.0.1", 0 } };
-    backend_standin m_server { m_loop, { [](const std::shared_ptr<server_request>& request) {
+    std::vector<std::shared_ptr<server_request>> m_held;
+    backend_standin m_server { m_loop, { [this](const std::shared_ptr<server_request>& request) {
+                                  if (request->request().target == "/r/held") {
+                                      m_held.push_back(request);
+                                      return;
+                                  }
                                   const bool large = request->request().target == "/r/large";
                                   request->reply(
                                       200, answerHeaders(*request), large ? std::string(largeAnswerBytes, 'a') : "ok");
@@ -309,4 +314,26 @@
         return std::string(own ? "Own" : "Platform") + std::get<crowd_case>(info.param).name;
     });
 
+class ReadinessUnderLoadTest : public HostileCallersTest { };
+
+// Guards against a readiness check that is refused because requests of callers run on every connection: the balancer
+// would take the daemon out.
+TEST_P(ReadinessUnderLoadTest, CallersCannotUseTheConnectionsForReadiness)
+{
+    ASSERT_TRUE(isServed(patience));
+    hostile_crowd crowd(std::get<crowd_case>(GetParam()), m_daemon->callers());
+    run(crowd);
+    std::optional<http_response> reply;
+    m_client.fetch(m_operators, { "GET", "/api/ready", {}, "" }, { std::chrono::seconds(3) },
+        [&](const exchange_result&, const http_response& response) { reply = response; });
+    m_loop.runUntil([&] { return reply.has_value(); }, std::chrono::seconds(5));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->status, 200) << reply->body;
+}
+
+INSTANTIATE_TEST_SUITE_P(Platform, ReadinessUnderLoadTest,
+    testing::Values(std::make_tuple(run_mode::Platform,
+        crowd_case { "RequestsThatRun", 100,
+            replaced(get("/r/held"), "Deadline-Ms: 2000", "Deadline-Ms: 20000"), "", 0, 1, false, fewDescriptors })));
+
 } // namespace pollen
