--- a/libs/http/src/connection_limits.cpp
+++ b/libs/http/src/connection_limits.cpp
@@ -28,7 +28,7 @@
 constexpr size_t monitoringConnections = 16;
 // Requests have no body, and the first bytes of each are part of its connection.
 constexpr size_t monitoringRequestBytes = 256U << 10;
-// 3.7 MB on the smallest machine, which holds several texts of metrics.
+// 3.7 MiB on the smallest machine; the size of the metrics of a large site has not been measured.
 constexpr size_t monitoringResponseShare = 24;
 
 } // namespace
