Send no repeat to the old version after a roll-out

A request that waited for a slow server of the old version while its roll-out completed was repeated on another server of that version, and these servers stop at once on completion. There is no repeat now if placement demands another version.

--- a/libs/relay/src/relay_exchange.cpp
+++ b/libs/relay/src/relay_exchange.cpp
@@ -508,6 +508,9 @@
         || m_dependencies.crashDetector.mayNotRunAgain(m_admission.fingerprint, m_admission.parts))
         return;
     placement_request placement = makePlacementRequest(m_dependencies, *m_admission.route, m_traits, m_model, m_start);
+    // Servers of other versions stop once a roll-out is complete.
+    if (!placement.onlyVersion.empty() && placement.onlyVersion != m_version)
+        return;
     placement.excluded = m_triedServers;
     placement.onlyVersion = m_version;
     excludeLimitedServers(placement);
--- a/standins/tests/slow_answer_test.cpp
+++ b/standins/tests/slow_answer_test.cpp
@@ -54,15 +54,20 @@
         m_loop.runUntil([] { return false; }, learningTime);
     }
 
-    http_response send(const std::string& method, const std::string& target)
+    void start(const std::string& method, const std::string& target, std::optional<http_response>& got)
     {
         const http_request message { method, target,
             { { "Host", "h.example" }, { "Pollenroute-Request-Id", "id-" + std::to_string(++m_sent) },
                 { "Pollenroute-Deadline-Ms", "1500" }, { "Pollenroute-Key", "key" } },
             "" };
-        std::optional<http_response> got;
         m_caller.fetch(m_front->address(), message, {},
             [&](const exchange_result&, const http_response& response) { got = response; });
+    }
+
+    http_response send(const std::string& method, const std::string& target)
+    {
+        std::optional<http_response> got;
+        start(method, target, got);
         EXPECT_TRUE(m_loop.runUntil([&] { return got.has_value(); }, patience));
         return got.value_or(http_response {});
     }
@@ -81,6 +86,22 @@
         return last;
     }
 
+    // Sends reads until one waits for the slow server.
+    void waitForSlowServer(std::optional<http_response>& got)
+    {
+        for (int i = 0; i < learningRequests; ++i)
+            EXPECT_EQ(send("GET", "/r/x").status, 200);
+        m_isSlow = true;
+        const size_t before = m_slowDesk->requests().size();
+        for (int i = 0; i < learningRequests && m_slowDesk->requests().size() == before; ++i) {
+            got.reset();
+            start("GET", "/r/x", got);
+            EXPECT_TRUE(m_loop.runUntil(
+                [&] { return got.has_value() || m_slowDesk->requests().size() > before; }, patience));
+        }
+        ASSERT_EQ(m_slowDesk->requests().size(), before + 1);
+    }
+
     bool hasMetric(const char* outcome)
     {
         const std::string text = m_relay->renderMetrics();
@@ -195,4 +216,21 @@
     EXPECT_EQ(m_log.count("slow_answer_repeated"), 0U);
 }
 
+// Guards against a repeat to a server of the old version after the roll-out is complete, when these servers stop at
+// once. The first attempt was sent while the roll-out ran.
+TEST_F(SlowAnswerTest, AfterARolloutTheOldVersionGetsNoRepeat)
+{
+    start(1);
+    m_store.put("keyed.op", "rollout/desk", R"({"service":"desk","target":"v2","duration-s":60})");
+    ASSERT_TRUE(m_loop.runUntil([&] { return m_log.count("rollout_seen") > 0; }, patience));
+    std::optional<http_response> got;
+    waitForSlowServer(got);
+    const size_t before = m_desk->requests().size();
+    m_store.put("keyed.status", "rollout/desk", R"({"service":"desk","target":"v2","state":"complete"})");
+    ASSERT_TRUE(m_loop.runUntil([&] { return got.has_value(); }, patience));
+    EXPECT_EQ(got->status, 504);
+    EXPECT_EQ(m_desk->requests().size(), before);
+    EXPECT_EQ(m_log.count("slow_answer_repeated"), 0U);
+}
+
 } // namespace pollen
