Read waiting answers before a slow attempt is repeated

After a daemon was stopped or overloaded, the first tick could cancel attempts whose answers had arrived but were still unread: one turn of the loop reads a limited number of sockets before timers run. After a gap of more than 150 ms between two checks, the next one now waits 100 ms.

SlowAnswerTest.AnAnswerThatArrivesWhileTheDaemonIsStoppedIsDelivered, which ticks the relay after 300 ms without reading, failed before (answered by the other server, 'done' for 'late') and passes.

--- a/libs/relay/include/relay/slow_answer_watch.h
+++ b/libs/relay/include/relay/slow_answer_watch.h
@@ -35,7 +35,8 @@
     void stop(time_point now, bool isAnswer);
 
     // Whether the attempt is slow and a repeat may pay. Called on every tick; true at growing intervals only, so that
-    // requests that wait on many slow servers do not load the daemon with placements.
+    // requests that wait on many slow servers do not load the daemon with placements. After a gap between the calls it
+    // first leaves time for answers that arrived in the gap to be read.
     bool checkIsSlow(time_point now);
 
     // The server that the request is to be sent to instead, if a repeat pays and both the operators' limit and the
@@ -54,6 +55,8 @@
     relay_dependencies& m_dependencies;
     attempt m_attempt;
     time_point m_sentAt {};
+    // When checkIsSlow() was last called for the attempt.
+    time_point m_lastCall {};
     bool m_isCounted = false;
     bool m_isRunning = false;
     // When the attempt is to be checked next; none if it needs no check.
--- a/libs/relay/src/slow_answer_watch.cpp
+++ b/libs/relay/src/slow_answer_watch.cpp
@@ -1,5 +1,6 @@
 #include <relay/slow_answer_watch.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace pollen {
@@ -10,6 +11,10 @@
 constexpr double recheckFactor = 1.25;
 // While too little is known, attempts are checked this long after they are sent.
 constexpr duration unknownDelay = std::chrono::seconds(1);
+// The daemon checks every 50 ms. After a longer gap it was stopped or overloaded, and answers may wait unread.
+constexpr duration maximumCheckGap = std::chrono::milliseconds(150);
+// Time in which these answers are read.
+constexpr duration readDelay = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -25,6 +30,7 @@
         return;
     m_attempt = attempt;
     m_sentAt = now;
+    m_lastCall = now;
     m_checkAt = now + policy.repeatDelay(waitingAttempt(now)).value_or(unknownDelay);
 }
 
@@ -65,7 +71,11 @@
 
 bool slow_answer_watch::checkIsSlow(time_point now)
 {
-    if (!m_checkAt || now < *m_checkAt)
+    if (!m_checkAt)
+        return false;
+    if (now - std::exchange(m_lastCall, now) > maximumCheckGap)
+        m_checkAt = std::max(*m_checkAt, now + readDelay);
+    if (now < *m_checkAt)
         return false;
     const slow_answer_policy& policy = m_dependencies.slowAnswers;
     const waiting_attempt waiting = waitingAttempt(now);
--- a/standins/tests/slow_answer_test.cpp
+++ b/standins/tests/slow_answer_test.cpp
@@ -1,6 +1,7 @@
 #include "relay_fixture.h"
 
 #include <set>
+#include <thread>
 
 namespace pollen {
 
@@ -8,6 +9,8 @@
 
 constexpr int learningRequests = 40;
 constexpr duration learningTime = std::chrono::milliseconds(300);
+// Longer than the delay after which an attempt is slow.
+constexpr duration stopTime = std::chrono::milliseconds(300);
 
 // Remembers the names of events.
 class event_log final : public logger {
@@ -233,4 +236,21 @@
     EXPECT_EQ(m_log.count("slow_answer_repeated"), 0U);
 }
 
+// Guards against cancelling attempts whose answers wait unread in the sockets, because the daemon was stopped. One turn
+// of the loop reads some of the sockets only, and the timers may run before the others are read.
+TEST_F(SlowAnswerTest, AnAnswerThatArrivesWhileTheDaemonIsStoppedIsDelivered)
+{
+    start(1);
+    std::optional<http_response> got;
+    waitForSlowServer(got);
+    const size_t before = m_desk->requests().size();
+    answers(200, "late")(m_slowDesk->held.back());
+    std::this_thread::sleep_for(stopTime);
+    m_relay->tick(m_time.now());
+    ASSERT_TRUE(m_loop.runUntil([&] { return got.has_value(); }, patience));
+    EXPECT_EQ(got->body, "late");
+    EXPECT_EQ(m_desk->requests().size(), before);
+    EXPECT_EQ(m_slowDesk->hungUp, 0U);
+}
+
 } // namespace pollen
