--- a/apps/pollenrouted/platform_daemon.cpp
+++ b/apps/pollenrouted/platform_daemon.cpp
@@ -37,8 +37,7 @@
               deriveConnectionLimits(settings.memoryBytes, settings.descriptors, caller_limits {}.maximumBodyBytes),
               time))
         , connectionReport(*connections, log)
-        , monitoringConnections(
-              std::make_shared<connection_budget>(deriveMonitoringLimits(settings.memoryBytes), time))
+        , monitoringConnections(std::make_shared<connection_budget>(deriveMonitoringLimits(settings.memoryBytes), time))
         , monitoringReport(*monitoringConnections, log, "readiness")
         , relay(loop, settings, log, time)
     {
