--- a/libs/http/src/connection_report.cpp
+++ b/libs/http/src/connection_report.cpp
@@ -29,7 +29,8 @@
     if (actions.empty())
         return;
     m_log.write(log_level::Warning, "connection_limit_reached",
-        { { "listeners", m_listeners }, { "actions", actions }, { "connections", static_cast<int64_t>(m_budget.connections()) },
+        { { "listeners", m_listeners }, { "actions", actions },
+            { "connections", static_cast<int64_t>(m_budget.connections()) },
             { "request_bytes", static_cast<int64_t>(m_budget.requestBytes()) },
             { "response_bytes", static_cast<int64_t>(m_budget.responseBytes()) } });
 }
--- a/standins/tests/hostile_callers_test.cpp
+++ b/standins/tests/hostile_callers_test.cpp
@@ -333,7 +333,7 @@
 
 INSTANTIATE_TEST_SUITE_P(Platform, ReadinessUnderLoadTest,
     testing::Values(std::make_tuple(run_mode::Platform,
-        crowd_case { "RequestsThatRun", 100,
-            replaced(get("/r/held"), "Deadline-Ms: 2000", "Deadline-Ms: 20000"), "", 0, 1, false, fewDescriptors })));
+        crowd_case { "RequestsThatRun", 100, replaced(get("/r/held"), "Deadline-Ms: 2000", "Deadline-Ms: 20000"), "", 0,
+            1, false, fewDescriptors })));
 
 } // namespace pollen
--- a/standins/tests/slow_answer_test.cpp
+++ b/standins/tests/slow_answer_test.cpp
@@ -99,8 +99,8 @@
         for (int i = 0; i < learningRequests && m_slowDesk->requests().size() == before; ++i) {
             got.reset();
             start("GET", "/r/x", got);
-            EXPECT_TRUE(m_loop.runUntil(
-                [&] { return got.has_value() || m_slowDesk->requests().size() > before; }, patience));
+            EXPECT_TRUE(
+                m_loop.runUntil([&] { return got.has_value() || m_slowDesk->requests().size() > before; }, patience));
         }
         ASSERT_EQ(m_slowDesk->requests().size(), before + 1);
     }
