--- a/libs/scheduling/tests/warm_up_table_test.cpp
+++ b/libs/scheduling/tests/warm_up_table_test.cpp
@@ -176,6 +176,19 @@
     EXPECT_TRUE(isColdAt(ms(40000)));
 }
 
+// Guards against FAILBACK: an allocator that has just started and has no configuration yet granted permits for a cold
+// server without a limit.
+TEST(WarmUpRulesTest, WithoutRulesAColdServerGetsNoPermit)
+{
+    random_source random { 1 };
+    server_rate_limits limits(random);
+    limits.warmUps().recordEntry(server, service, ms(3000), start);
+    permit_allocator allocator(failure_domain_name("a"), limits);
+    allocator.setDomains({ failure_domain_name("a") });
+    EXPECT_FALSE(allocator.take({ server }, start).server);
+    EXPECT_FALSE(allocator.take({ server }, start + ms(2000)).server);
+}
+
 // Guards against limits in deployments whose configuration has no warm-up.
 TEST_F(WarmUpTableTest, ServicesWithoutAWarmUpAreNeverCold)
 {
