--- a/review/second/standins/fleet.cpp
+++ b/review/second/standins/fleet.cpp
@@ -50,10 +50,11 @@
     throw std::runtime_error("no free port on " + address);
 }
 
-fleet::fleet(std::string program, std::string directory, recorder& record)
+fleet::fleet(std::string program, std::string directory, recorder& record, size_t memoryMegabytes)
     : m_program(std::move(program))
     , m_directory(std::move(directory))
     , m_record(record)
+    , m_memoryMegabytes(memoryMegabytes)
     , m_store(m_loop, { loopbackAddress(storeHost), 0 })
     , m_caller(m_loop)
 {
@@ -82,7 +83,7 @@
          << "\"cost\", \"retry\", \"recover\", \"engine\", \"stream\", \"tenants\", \"platform\", \"rollout\"]\n"
          << "[zones]\na = \"r\"\nb = \"r\"\nc = \"r\"\nd = \"r\"\n[listen]\nfront = \"" << daemon.callers.text()
          << "\"\nready = \"" << daemon.readiness.text()
-         << "\"\n[limits]\ncpu-share = 0.25\ncores = 1\nmemory-mb = 260\n"
+         << "\"\n[limits]\ncpu-share = 0.25\ncores = 1\nmemory-mb = " << m_memoryMegabytes << "\n"
          << "max-fds = 4100\nlink-mbps = 1000.0\ndisk-mb = 0\n[fault-tolerance]\nmachines = 1\nzones = 1\nregions = 0\n"
          << "[bounds]\nseed-lag-s = 3\nreuse-after-s = 2\nstable-window-ms = 3000\nack-ms = 4000\ncatch-up-s = 4\n"
          << "drain-ms = 2000\ngrace-s = 8\nloss-slack-ms = 200\nconfig-apply-ms = 2000\nrollback-slack-ms = 250\n"
--- a/review/second/standins/fleet.h
+++ b/review/second/standins/fleet.h
@@ -21,8 +21,9 @@
 // The store, the project's daemons as processes and a caller, all on loopback addresses.
 class fleet {
 public:
-    // program: of the role in the deploy file. directory: for settings and logs of the daemons.
-    fleet(std::string program, std::string directory, recorder& record);
+    // program: of the role in the deploy file. directory: for settings and logs of the daemons. memoryMegabytes: of a
+    // daemon's machine.
+    fleet(std::string program, std::string directory, recorder& record, size_t memoryMegabytes = 260);
     ~fleet();
     fleet(const fleet&) = delete;
     fleet& operator=(const fleet&) = delete;
@@ -61,6 +62,7 @@
     std::string m_program;
     std::string m_directory;
     recorder& m_record;
+    size_t m_memoryMegabytes;
     pollen::os_clock m_clock;
     pollen::event_loop m_loop;
     pollen::store_standin m_store;
