--- /dev/null
+++ b/review/second/standins/case_9.cpp
@@ -0,0 +1,286 @@
+// A replica crashes, is back at once under its id, and is cold.
+//
+// case_9 DAEMON DIRECTORY RECORD TROUBLE ENGINE. Exit status: 1 if the rule was broken, 0 if it held, 2 if the case
+// could not run.
+
+#include "fleet.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <fcntl.h>
+#include <sstream>
+#include <unistd.h>
+#include <vector>
+
+namespace review {
+
+namespace {
+
+constexpr size_t engineCount = 9;
+constexpr unsigned firstEngineHost = 100;
+constexpr const char* eventsPerAnswer = "36";
+constexpr pollen::duration heartbeatInterval = std::chrono::milliseconds(1200);
+constexpr pollen::duration calmTime = std::chrono::seconds(5);
+// A replica crashes in each interval, another one each time.
+constexpr pollen::duration crashInterval = std::chrono::seconds(7);
+constexpr size_t crashCount = 6;
+constexpr pollen::duration timeDown = std::chrono::milliseconds(150);
+// Requests of all callers: 10.7 a second for each replica, which runs about 15 of them at a time.
+constexpr pollen::duration requestInterval = std::chrono::microseconds(10400);
+// cold-start-s and cold-per-s of the configuration, cold-overshoot and cold-slack of the settings.
+constexpr int64_t coldMilliseconds = 3000;
+constexpr double coldPerSecond = 5.6;
+constexpr double coldOvershoot = 1.5;
+constexpr double coldSlack = 5;
+constexpr int64_t microsecondsPerMillisecond = 1000;
+constexpr int64_t windowMicroseconds = 1000000;
+
+constexpr const char* configuration = R"({"version":1,"routes":[
+{"name":"chat","host":"h.example","path-prefix":"/chat/","kind":"streaming","timeout-ms":8000,"goal-ms":2000,
+"priority":0,"service":"engine","max-attempts":3,"public":false,"sticky":true,"resumable":true,"gap-goal-ms":800}],
+"services":[{"name":"engine","health-path":"/health","max-conns":360,"cold-start-s":3.0,"cold-per-s":5.6,
+"engine":{"slots":64,"kv-capacity":478366,"models":[{"name":"m","cost":0.1}]}}],
+"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
+"tenants":[{"name":"team","api-keys":["key1"],"priority":1}]})";
+
+struct engine {
+    std::string id;
+    std::string address;
+    uint16_t port = 0;
+    int output = -1;
+    std::string unread;
+    int64_t born = 0;
+    int beats = 0;
+    // Microseconds on the boot clock; 0 if the replica started before the traffic.
+    int64_t coldSince = 0;
+    std::vector<int64_t> arrivals;
+    std::unique_ptr<child_process> process;
+};
+
+class cold_replica_case {
+public:
+    explicit cold_replica_case(const std::array<std::string, 5>& arguments)
+        : m_record(arguments[2])
+        , m_fleet(arguments[0], arguments[1], m_record)
+        , m_hasTrouble(arguments[3] != "0")
+        , m_engineProgram(arguments[4])
+    {
+    }
+
+    int run()
+    {
+        m_fleet.store().put("keyed.op", "config", configuration);
+        for (size_t i = 0; i < engineCount; ++i)
+            addEngine(i);
+        for (const char* domain : { "a", "b", "c", "d" })
+            m_fleet.startDaemon(std::string("front-") + domain, domain);
+        if (!m_fleet.waitUntilReady())
+            return couldNotRun("the daemons are not ready");
+        m_fleet.wait(std::chrono::seconds(4));
+        play(calmTime);
+        if (m_answered * 10 < m_sent * 6)
+            return couldNotRun("requests are not answered in calm");
+        for (size_t i = 0; i < crashCount; ++i) {
+            if (m_hasTrouble)
+                crash(m_engines[i]);
+            play(crashInterval);
+        }
+        return judge();
+    }
+
+private:
+    int couldNotRun(const char* reason)
+    {
+        m_record.write(std::string("the case could not run: ") + reason);
+        return 2;
+    }
+
+    void addEngine(size_t index)
+    {
+        engine added;
+        added.id = "i-" + std::to_string(index);
+        added.address = loopbackAddress(firstEngineHost + static_cast<unsigned>(index));
+        added.port = freePort(added.address);
+        m_engines.push_back(std::move(added));
+        startEngine(m_engines.back());
+    }
+
+    void startEngine(engine& which)
+    {
+        std::array<int, 2> ends {};
+        if (::pipe2(ends.data(), O_CLOEXEC | O_NONBLOCK) != 0)
+            throw std::runtime_error("no pipe");
+        if (which.output >= 0)
+            ::close(which.output);
+        which.output = ends[0];
+        which.process
+            = std::make_unique<child_process>(std::vector<std::string> { m_engineProgram, which.id, which.address,
+                                                  std::to_string(which.port), "chunks", "0", eventsPerAnswer },
+                std::vector<std::string> {}, ends[1]);
+        ::close(ends[1]);
+        which.born = pollen::os_clock().wallMilliseconds();
+        beat(which);
+    }
+
+    void crash(engine& which)
+    {
+        m_record.write("replica " + which.id + " crashes");
+        readEngines();
+        which.process->endNow();
+        m_fleet.wait(timeDown);
+        which.coldSince = microseconds(m_fleet.now());
+        startEngine(which);
+        m_record.write("replica " + which.id + " is back and has told the store that it is cold");
+    }
+
+    static int64_t microseconds(pollen::time_point time)
+    {
+        return std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count();
+    }
+
+    int64_t coldLeftMilliseconds(const engine& which) const
+    {
+        if (which.coldSince == 0)
+            return 0;
+        const int64_t passed = (microseconds(m_fleet.now()) - which.coldSince) / microsecondsPerMillisecond;
+        return std::max<int64_t>(coldMilliseconds - passed, 0);
+    }
+
+    void beat(engine& which)
+    {
+        m_fleet.store().put("keyed.servers", which.id,
+            nlohmann::json { { "service", "engine" }, { "address", which.address + ":" + std::to_string(which.port) },
+                { "zone", std::string(1, static_cast<char>('a' + (&which - m_engines.data()) % 4)) },
+                { "version", "v1" }, { "slots", 64 }, { "state", "ready" },
+                { "cold-left-ms", coldLeftMilliseconds(which) },
+                { "models", nlohmann::json::array({ { { "name", "m" }, { "version", 1 } } }) }, { "born", which.born },
+                { "seq", ++which.beats } }
+                .dump());
+    }
+
+    void tendEngines()
+    {
+        readEngines();
+        if (m_fleet.now() < m_nextBeat)
+            return;
+        m_nextBeat = m_fleet.now() + heartbeatInterval;
+        for (engine& which : m_engines)
+            beat(which);
+    }
+
+    void readEngines()
+    {
+        for (engine& which : m_engines) {
+            std::array<char, 4096> bytes {};
+            ssize_t length = 0;
+            while ((length = ::read(which.output, bytes.data(), bytes.size())) > 0)
+                which.unread.append(bytes.data(), static_cast<size_t>(length));
+            size_t end = 0;
+            while ((end = which.unread.find('\n')) != std::string::npos) {
+                readLine(which, which.unread.substr(0, end));
+                which.unread.erase(0, end + 1);
+            }
+        }
+    }
+
+    void readLine(engine& from, const std::string& line)
+    {
+        std::istringstream words(line);
+        int64_t time = 0;
+        std::string what;
+        std::string request;
+        words >> time >> what >> request;
+        const bool isCold = from.coldSince > 0 && time >= from.coldSince
+            && time < from.coldSince + coldMilliseconds * microsecondsPerMillisecond;
+        m_record.writeAt(
+            pollen::time_point(std::chrono::duration_cast<pollen::duration>(std::chrono::microseconds(time))),
+            "replica " + from.id + (isCold ? ", cold: " : ": ") + what + " " + request);
+        if (isCold)
+            from.arrivals.push_back(time);
+    }
+
+    void send()
+    {
+        const std::string number = std::to_string(++m_sent);
+        const std::string id = "request-" + number;
+        const pollen::http_request request { "POST", "/chat/x",
+            { { "Host", "h.example" }, { "Pollenroute-Request-Id", id }, { "Pollenroute-Key", "key1" },
+                { "Pollenroute-Deadline-Ms", "8000" }, { "Pollenroute-Model", "m" },
+                { "Pollenroute-Token-Counts", "200,60" }, { "Pollenroute-Prompt-Prefix", "1000" + number + ":200" } },
+            "prompt " + number };
+        pollen::exchange_options options;
+        options.timeout = std::chrono::seconds(8);
+        m_fleet.caller().fetch(m_fleet.callersAddress(m_sent % m_fleet.daemonCount()), request, options,
+            [this, id](const pollen::exchange_result& result, const pollen::http_response& response) {
+                constexpr int statusOk = 200;
+                const bool isAnswered = result.ok() && response.status == statusOk;
+                m_answered += isAnswered ? 1 : 0;
+                if (!isAnswered)
+                    m_record.write("answered " + id + ": status " + std::to_string(response.status) + ", "
+                        + pollen::toText(result.failure));
+            });
+    }
+
+    void play(pollen::duration length)
+    {
+        const pollen::time_point end = m_fleet.now() + length;
+        pollen::time_point next = m_fleet.now();
+        while (m_fleet.now() < end) {
+            tendEngines();
+            for (; next <= m_fleet.now(); next += requestInterval)
+                send();
+            m_fleet.wait(std::chrono::milliseconds(5));
+        }
+    }
+
+    int judge()
+    {
+        readEngines();
+        const double allowed = coldPerSecond * coldOvershoot + coldSlack;
+        size_t most = 0;
+        for (const engine& which : m_engines) {
+            for (const int64_t begin : which.arrivals) {
+                const auto inWindow = static_cast<size_t>(std::count_if(which.arrivals.begin(), which.arrivals.end(),
+                    [&](int64_t time) { return time >= begin && time < begin + windowMicroseconds; }));
+                most = std::max(most, inWindow);
+            }
+        }
+        const bool isBroken = static_cast<double>(most) > allowed;
+        std::ostringstream text;
+        text << "requests sent " << m_sent << ", answered " << m_answered
+             << "; most that reached a cold replica in a second " << most << " (allowed " << allowed << "); FAILBACK "
+             << (isBroken ? "broken" : "kept");
+        m_record.write(text.str());
+        std::printf("%s\n", text.str().c_str());
+        return isBroken ? 1 : 0;
+    }
+
+    recorder m_record;
+    fleet m_fleet;
+    bool m_hasTrouble;
+    std::string m_engineProgram;
+    std::vector<engine> m_engines;
+    size_t m_sent = 0;
+    size_t m_answered = 0;
+    pollen::time_point m_nextBeat {};
+};
+
+} // namespace
+
+} // namespace review
+
+int main(int argc, char** argv)
+{
+    std::array<std::string, 5> arguments;
+    if (static_cast<size_t>(argc) != arguments.size() + 1)
+        return 2;
+    for (size_t i = 0; i < arguments.size(); ++i)
+        arguments[i] = argv[i + 1];
+    try {
+        return review::cold_replica_case(arguments).run();
+    } catch (const std::exception& problem) {
+        std::fprintf(stderr, "the case could not run: %s\n", problem.what());
+        return 2;
+    }
+}
