--- a/review/second/standins/case_6.cpp
+++ b/review/second/standins/case_6.cpp
@@ -3,24 +3,22 @@
 // case_6 DAEMON DIRECTORY RECORD TROUBLE FRAMING ENGINE. Exit status: 1 if the rule was broken, 0 if it held, 2 if the
 // case could not run.
 
+#include "engine.h"
 #include "fleet.h"
 
 #include <algorithm>
 #include <array>
 #include <cstdio>
 #include <cstdlib>
-#include <fcntl.h>
 #include <functional>
 #include <sstream>
-#include <unistd.h>
 
 namespace review {
 
 namespace {
 
 constexpr size_t engineCount = 9;
-constexpr const char* eventsPerAnswer = "12";
-constexpr unsigned firstEngineHost = 100;
+constexpr int eventsPerAnswer = 12;
 constexpr pollen::duration heartbeatInterval = std::chrono::milliseconds(1200);
 // A crashed replica is back after some seconds.
 constexpr pollen::duration timeDown = std::chrono::milliseconds(2500);
@@ -47,17 +45,10 @@
     size_t answered = 0;
 };
 
-struct engine {
-    std::string id;
-    std::string address;
-    uint16_t port = 0;
-    int output = -1;
-    std::string unread;
-    int64_t born = 0;
-    int beats = 0;
-    bool isCrashing = false;
+struct replica {
+    std::unique_ptr<engine> server;
+    bool isDown = false;
     pollen::time_point back {};
-    std::unique_ptr<child_process> process;
 };
 
 struct arrival {
@@ -81,7 +72,8 @@
     {
         m_fleet.store().put("keyed.op", "config", configuration);
         for (size_t i = 0; i < engineCount; ++i)
-            addEngine(i);
+            m_replicas.push_back({ std::make_unique<engine>(
+                m_fleet, engine_options { m_engineProgram, m_framing, m_hasTrouble, eventsPerAnswer }, i) });
         const std::array<const char*, 4> domains { "a", "b", "c", "d" };
         for (const char* domain : domains)
             m_fleet.startDaemon(std::string("front-") + domain, domain);
@@ -93,7 +85,7 @@
             return couldNotRun("sound requests are not answered in calm");
         play(troubleTime, true);
         m_fleet.wait(std::chrono::seconds(1));
-        readEngines();
+        readReplicas();
         return judge();
     }
 
@@ -104,83 +96,36 @@
         return 2;
     }
 
-    void addEngine(size_t index)
-    {
-        engine added;
-        added.id = "i-" + std::to_string(index);
-        added.address = loopbackAddress(firstEngineHost + static_cast<unsigned>(index));
-        added.port = freePort(added.address);
-        m_engines.push_back(std::move(added));
-        startEngine(m_engines.back());
-    }
-
-    void startEngine(engine& which)
-    {
-        std::array<int, 2> ends {};
-        if (::pipe2(ends.data(), O_CLOEXEC | O_NONBLOCK) != 0)
-            throw std::runtime_error("no pipe");
-        if (which.output >= 0)
-            ::close(which.output);
-        which.output = ends[0];
-        which.process = std::make_unique<child_process>(
-            std::vector<std::string> { m_engineProgram, which.id, which.address, std::to_string(which.port), m_framing,
-                m_hasTrouble ? "1" : "0", eventsPerAnswer },
-            std::vector<std::string> {}, ends[1]);
-        ::close(ends[1]);
-        which.born = pollen::os_clock().wallMilliseconds();
-        which.isCrashing = false;
-        beat(which);
-    }
-
-    void beat(engine& which)
-    {
-        m_fleet.store().put("keyed.servers", which.id,
-            nlohmann::json { { "service", "engine" }, { "address", which.address + ":" + std::to_string(which.port) },
-                { "zone", std::string(1, static_cast<char>('a' + (&which - m_engines.data()) % 4)) },
-                { "version", "v1" }, { "slots", 64 }, { "state", "ready" }, { "cold-left-ms", 0 },
-                { "models", nlohmann::json::array({ { { "name", "m" }, { "version", 1 } } }) }, { "born", which.born },
-                { "seq", ++which.beats } }
-                .dump());
-    }
-
     // Starts crashed replicas again, lets the others tell the store that they live and reads what they write.
-    void tendEngines()
+    void tendReplicas()
     {
         const pollen::time_point now = m_fleet.now();
         const bool isBeatDue = now >= m_nextBeat;
         if (isBeatDue)
             m_nextBeat = now + heartbeatInterval;
-        readEngines();
-        for (engine& which : m_engines) {
-            if (which.process->isRunning()) {
+        readReplicas();
+        for (replica& which : m_replicas) {
+            if (which.server->process().isRunning()) {
                 if (isBeatDue)
-                    beat(which);
+                    which.server->beat();
                 continue;
             }
-            if (!std::exchange(which.isCrashing, true)) {
-                m_record.write("replica " + which.id + " has crashed");
+            if (!std::exchange(which.isDown, true)) {
+                m_record.write("replica " + which.server->id() + " has crashed");
                 which.back = now + timeDown;
             }
-            if (now >= which.back) {
-                m_record.write("replica " + which.id + " is back");
-                startEngine(which);
-            }
+            if (now < which.back)
+                continue;
+            which.isDown = false;
+            which.server->start();
+            m_record.write("replica " + which.server->id() + " is back");
         }
     }
 
-    void readEngines()
+    void readReplicas()
     {
-        for (engine& which : m_engines) {
-            std::array<char, 4096> bytes {};
-            ssize_t length = 0;
-            while ((length = ::read(which.output, bytes.data(), bytes.size())) > 0)
-                which.unread.append(bytes.data(), static_cast<size_t>(length));
-            size_t end = 0;
-            while ((end = which.unread.find('\n')) != std::string::npos) {
-                readLine(which, which.unread.substr(0, end));
-                which.unread.erase(0, end + 1);
-            }
-        }
+        for (const replica& which : m_replicas)
+            which.server->readLines([&](const std::string& line) { readLine(*which.server, line); });
     }
 
     void readLine(const engine& from, const std::string& line)
@@ -190,10 +135,10 @@
         std::string what;
         std::string kind;
         words >> seen.microseconds >> what >> seen.request >> kind;
-        seen.server = from.id;
+        seen.server = from.id();
         const pollen::time_point time { std::chrono::duration_cast<pollen::duration>(
             std::chrono::microseconds(seen.microseconds)) };
-        m_record.writeAt(time, "replica " + from.id + ": " + what + " " + seen.request + " " + kind);
+        m_record.writeAt(time, "replica " + from.id() + ": " + what + " " + seen.request + " " + kind);
         if (what == "crashed")
             m_crashes.push_back(seen);
         else if (kind == "dead")
@@ -231,7 +176,7 @@
         const pollen::time_point end = m_fleet.now() + length;
         pollen::time_point nextDead = m_fleet.now();
         while (m_fleet.now() < end) {
-            tendEngines();
+            tendReplicas();
             send(false);
             if (withDeadPart && m_fleet.now() >= nextDead) {
                 nextDead += deadInterval;
@@ -267,7 +212,7 @@
     bool m_hasTrouble;
     std::string m_framing;
     std::string m_engineProgram;
-    std::vector<engine> m_engines;
+    std::vector<replica> m_replicas;
     std::vector<arrival> m_crashes;
     std::vector<arrival> m_deadArrivals;
     run_counts m_sound;
--- a/review/second/standins/case_9.cpp
+++ b/review/second/standins/case_9.cpp
@@ -3,14 +3,13 @@
 // case_9 DAEMON DIRECTORY RECORD TROUBLE ENGINE. Exit status: 1 if the rule was broken, 0 if it held, 2 if the case
 // could not run.
 
+#include "engine.h"
 #include "fleet.h"
 
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <fcntl.h>
 #include <sstream>
-#include <unistd.h>
 #include <vector>
 
 namespace review {
@@ -18,15 +17,14 @@
 namespace {
 
 constexpr size_t engineCount = 9;
-constexpr unsigned firstEngineHost = 100;
-constexpr const char* eventsPerAnswer = "36";
+constexpr int eventsPerAnswer = 48;
 constexpr pollen::duration heartbeatInterval = std::chrono::milliseconds(1200);
 constexpr pollen::duration calmTime = std::chrono::seconds(5);
 // A replica crashes in each interval, another one each time.
-constexpr pollen::duration crashInterval = std::chrono::seconds(7);
-constexpr size_t crashCount = 6;
+constexpr pollen::duration crashInterval = std::chrono::milliseconds(4300);
+constexpr size_t crashCount = 14;
 constexpr pollen::duration timeDown = std::chrono::milliseconds(150);
-// Requests of all callers: 10.7 a second for each replica, which runs about 15 of them at a time.
+// Requests of all callers: 10.7 a second for each replica, which runs about 20 of them at a time.
 constexpr pollen::duration requestInterval = std::chrono::microseconds(10400);
 // cold-start-s and cold-per-s of the configuration, cold-overshoot and cold-slack of the settings.
 constexpr int64_t coldMilliseconds = 3000;
@@ -44,18 +42,12 @@
 "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
 "tenants":[{"name":"team","api-keys":["key1"],"priority":1}]})";
 
-struct engine {
-    std::string id;
-    std::string address;
-    uint16_t port = 0;
-    int output = -1;
-    std::string unread;
-    int64_t born = 0;
-    int beats = 0;
+struct replica {
+    std::unique_ptr<engine> server;
     // Microseconds on the boot clock; 0 if the replica started before the traffic.
     int64_t coldSince = 0;
-    std::vector<int64_t> arrivals;
-    std::unique_ptr<child_process> process;
+    // Requests that have reached it while it was cold.
+    std::vector<int64_t> arrivals {};
 };
 
 class cold_replica_case {
@@ -72,18 +64,19 @@
     {
         m_fleet.store().put("keyed.op", "config", configuration);
         for (size_t i = 0; i < engineCount; ++i)
-            addEngine(i);
+            m_replicas.push_back({ std::make_unique<engine>(
+                m_fleet, engine_options { m_engineProgram, "chunks", false, eventsPerAnswer }, i) });
         for (const char* domain : { "a", "b", "c", "d" })
             m_fleet.startDaemon(std::string("front-") + domain, domain);
         if (!m_fleet.waitUntilReady())
             return couldNotRun("the daemons are not ready");
         m_fleet.wait(std::chrono::seconds(4));
         play(calmTime);
-        if (m_answered * 10 < m_sent * 6)
+        if (m_answered * 10 < m_sent * 4)
             return couldNotRun("requests are not answered in calm");
         for (size_t i = 0; i < crashCount; ++i) {
             if (m_hasTrouble)
-                crash(m_engines[i]);
+                crash(m_replicas[i % engineCount]);
             play(crashInterval);
         }
         return judge();
@@ -96,42 +89,15 @@
         return 2;
     }
 
-    void addEngine(size_t index)
+    void crash(replica& which)
     {
-        engine added;
-        added.id = "i-" + std::to_string(index);
-        added.address = loopbackAddress(firstEngineHost + static_cast<unsigned>(index));
-        added.port = freePort(added.address);
-        m_engines.push_back(std::move(added));
-        startEngine(m_engines.back());
-    }
-
-    void startEngine(engine& which)
-    {
-        std::array<int, 2> ends {};
-        if (::pipe2(ends.data(), O_CLOEXEC | O_NONBLOCK) != 0)
-            throw std::runtime_error("no pipe");
-        if (which.output >= 0)
-            ::close(which.output);
-        which.output = ends[0];
-        which.process
-            = std::make_unique<child_process>(std::vector<std::string> { m_engineProgram, which.id, which.address,
-                                                  std::to_string(which.port), "chunks", "0", eventsPerAnswer },
-                std::vector<std::string> {}, ends[1]);
-        ::close(ends[1]);
-        which.born = pollen::os_clock().wallMilliseconds();
-        beat(which);
-    }
-
-    void crash(engine& which)
-    {
-        m_record.write("replica " + which.id + " crashes");
-        readEngines();
-        which.process->endNow();
+        m_record.write("replica " + which.server->id() + " crashes");
+        readReplicas();
+        which.server->process().endNow();
         m_fleet.wait(timeDown);
         which.coldSince = microseconds(m_fleet.now());
-        startEngine(which);
-        m_record.write("replica " + which.id + " is back and has told the store that it is cold");
+        which.server->start(coldMilliseconds);
+        m_record.write("replica " + which.server->id() + " is back and has told the store that it is cold");
     }
 
     static int64_t microseconds(pollen::time_point time)
@@ -139,7 +105,7 @@
         return std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count();
     }
 
-    int64_t coldLeftMilliseconds(const engine& which) const
+    int64_t coldLeftMilliseconds(const replica& which) const
     {
         if (which.coldSince == 0)
             return 0;
@@ -147,44 +113,23 @@
         return std::max<int64_t>(coldMilliseconds - passed, 0);
     }
 
-    void beat(engine& which)
+    void tendReplicas()
     {
-        m_fleet.store().put("keyed.servers", which.id,
-            nlohmann::json { { "service", "engine" }, { "address", which.address + ":" + std::to_string(which.port) },
-                { "zone", std::string(1, static_cast<char>('a' + (&which - m_engines.data()) % 4)) },
-                { "version", "v1" }, { "slots", 64 }, { "state", "ready" },
-                { "cold-left-ms", coldLeftMilliseconds(which) },
-                { "models", nlohmann::json::array({ { { "name", "m" }, { "version", 1 } } }) }, { "born", which.born },
-                { "seq", ++which.beats } }
-                .dump());
-    }
-
-    void tendEngines()
-    {
-        readEngines();
+        readReplicas();
         if (m_fleet.now() < m_nextBeat)
             return;
         m_nextBeat = m_fleet.now() + heartbeatInterval;
-        for (engine& which : m_engines)
-            beat(which);
+        for (const replica& which : m_replicas)
+            which.server->beat(coldLeftMilliseconds(which));
     }
 
-    void readEngines()
+    void readReplicas()
     {
-        for (engine& which : m_engines) {
-            std::array<char, 4096> bytes {};
-            ssize_t length = 0;
-            while ((length = ::read(which.output, bytes.data(), bytes.size())) > 0)
-                which.unread.append(bytes.data(), static_cast<size_t>(length));
-            size_t end = 0;
-            while ((end = which.unread.find('\n')) != std::string::npos) {
-                readLine(which, which.unread.substr(0, end));
-                which.unread.erase(0, end + 1);
-            }
-        }
+        for (replica& which : m_replicas)
+            which.server->readLines([&](const std::string& line) { readLine(which, line); });
     }
 
-    void readLine(engine& from, const std::string& line)
+    void readLine(replica& from, const std::string& line)
     {
         std::istringstream words(line);
         int64_t time = 0;
@@ -195,7 +140,7 @@
             && time < from.coldSince + coldMilliseconds * microsecondsPerMillisecond;
         m_record.writeAt(
             pollen::time_point(std::chrono::duration_cast<pollen::duration>(std::chrono::microseconds(time))),
-            "replica " + from.id + (isCold ? ", cold: " : ": ") + what + " " + request);
+            "replica " + from.server->id() + (isCold ? ", cold: " : ": ") + what + " " + request);
         if (isCold)
             from.arrivals.push_back(time);
     }
@@ -227,7 +172,7 @@
         const pollen::time_point end = m_fleet.now() + length;
         pollen::time_point next = m_fleet.now();
         while (m_fleet.now() < end) {
-            tendEngines();
+            tendReplicas();
             for (; next <= m_fleet.now(); next += requestInterval)
                 send();
             m_fleet.wait(std::chrono::milliseconds(5));
@@ -236,10 +181,10 @@
 
     int judge()
     {
-        readEngines();
+        readReplicas();
         const double allowed = coldPerSecond * coldOvershoot + coldSlack;
         size_t most = 0;
-        for (const engine& which : m_engines) {
+        for (const replica& which : m_replicas) {
             for (const int64_t begin : which.arrivals) {
                 const auto inWindow = static_cast<size_t>(std::count_if(which.arrivals.begin(), which.arrivals.end(),
                     [&](int64_t time) { return time >= begin && time < begin + windowMicroseconds; }));
@@ -260,7 +205,7 @@
     fleet m_fleet;
     bool m_hasTrouble;
     std::string m_engineProgram;
-    std::vector<engine> m_engines;
+    std::vector<replica> m_replicas;
     size_t m_sent = 0;
     size_t m_answered = 0;
     pollen::time_point m_nextBeat {};
